--- /dev/null
+++ b/cmake/module.cmake
@@ -0,0 +1,28 @@
+# hawthornpick_module(NAME <name> SOURCES <files> [GENERATED <files>] [DEPENDS <targets>])
+#
+# Defines the static library hawthornpick_<name> of one folder under src/. Files in GENERATED are
+# Thrift output and are compiled without the project's warnings.
+function(hawthornpick_module)
+    cmake_parse_arguments(ARG "" "NAME" "SOURCES;GENERATED;DEPENDS" ${ARGN})
+    add_library(hawthornpick_${ARG_NAME} STATIC ${ARG_SOURCES})
+    target_link_libraries(hawthornpick_${ARG_NAME} PRIVATE hawthornpick_options PUBLIC ${ARG_DEPENDS})
+    target_include_directories(hawthornpick_${ARG_NAME} PUBLIC ${CMAKE_SOURCE_DIR}/src)
+    if(ARG_GENERATED)
+        add_library(hawthornpick_${ARG_NAME}_generated STATIC ${ARG_GENERATED})
+        target_include_directories(hawthornpick_${ARG_NAME}_generated PUBLIC ${CMAKE_SOURCE_DIR}/src)
+        target_link_libraries(hawthornpick_${ARG_NAME}_generated PUBLIC thrift)
+        target_link_libraries(hawthornpick_${ARG_NAME} PUBLIC hawthornpick_${ARG_NAME}_generated)
+    endif()
+endfunction()
+
+# hawthornpick_test(NAME <name> SOURCES <files> [DEPENDS <targets>])
+#
+# Defines one CppUTest binary, registered with ctest under <name>.
+function(hawthornpick_test)
+    cmake_parse_arguments(ARG "" "NAME" "SOURCES;DEPENDS" ${ARGN})
+    add_executable(${ARG_NAME} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/testmain.cpp)
+    target_link_libraries(${ARG_NAME} PRIVATE hawthornpick_options ${ARG_DEPENDS} CppUTest)
+    target_include_directories(${ARG_NAME} PRIVATE ${CMAKE_SOURCE_DIR})
+    add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME})
+    set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 300)
+endfunction()
--- /dev/null
+++ b/src/base/internal/log.cpp
@@ -0,0 +1,160 @@
+#include "base/log.h"
+
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <easylogging++.h>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace hawthornpick::base {
+
+namespace {
+
+std::atomic<log_level> minimumLevel{log_level::Info};
+
+auto currentNodeName() -> std::string &
+{
+    static std::string name;
+    return name;
+}
+
+auto levelName(log_level level) -> std::string_view
+{
+    switch (level) {
+    case log_level::Debug:
+        return "debug";
+    case log_level::Info:
+        return "info";
+    case log_level::Warning:
+        return "warning";
+    case log_level::Error:
+        return "error";
+    }
+    return "info";
+}
+
+auto currentTime() -> std::string
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto seconds = std::chrono::system_clock::to_time_t(now);
+    const auto sinceEpoch =
+            std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch());
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::array<char, 8> fraction{};
+    std::snprintf(fraction.data(), fraction.size(), ".%03dZ",
+                  static_cast<int>(sinceEpoch.count() % 1000));
+    return std::string(text.data(), length) + fraction.data();
+}
+
+//! Writes each message to standard error with one call, so that lines of several threads do not
+//! mix.
+class stderr_callback : public el::LogDispatchCallback
+{
+protected:
+    auto handle(const el::LogDispatchData *data) -> void override
+    {
+        const auto line = data->logMessage()->message() + "\n";
+        std::fwrite(line.data(), 1, line.size(), stderr);
+    }
+};
+
+struct value_formatter
+{
+    auto operator()(const std::string &text) const -> std::string { return quoteJson(text); }
+    auto operator()(std::int64_t number) const -> std::string { return std::to_string(number); }
+    auto operator()(double number) const -> std::string { return std::to_string(number); }
+    auto operator()(bool flag) const -> std::string { return flag ? "true" : "false"; }
+};
+
+} // namespace
+
+auto quoteJson(std::string_view text) -> std::string
+{
+    std::string quoted = "\"";
+    for (const char item : text) {
+        const auto byte = static_cast<unsigned char>(item);
+        if (item == '"' || item == '\\') {
+            quoted.push_back('\\');
+            quoted.push_back(item);
+        } else if (byte < 0x20U) {
+            std::array<char, 8> escape{};
+            std::snprintf(escape.data(), escape.size(), "\\u%04x", byte);
+            quoted += escape.data();
+        } else {
+            quoted.push_back(item);
+        }
+    }
+    quoted.push_back('"');
+    return quoted;
+}
+
+auto formatLogLine(std::string_view time, log_level level, std::string_view nodeName,
+                   std::string_view message, std::initializer_list<log_field> fields) -> std::string
+{
+    std::string line = "{\"time\":" + quoteJson(time) + ",\"level\":" + quoteJson(levelName(level));
+    if (!nodeName.empty()) {
+        line += ",\"node\":" + quoteJson(nodeName);
+    }
+    line += ",\"message\":" + quoteJson(message);
+    for (const auto &field : fields) {
+        line += "," + quoteJson(field.name) + ":" + std::visit(value_formatter{}, field.value);
+    }
+    line += "}";
+    return line;
+}
+
+auto configureLogging(log_level minimum, std::string_view nodeName) -> void
+{
+    minimumLevel = minimum;
+    currentNodeName() = nodeName;
+    el::Configurations configuration;
+    configuration.setToDefault();
+    configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+    configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+    el::Loggers::reconfigureAllLoggers(configuration);
+    el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
+            "DefaultLogDispatchCallback");
+    el::Helpers::installLogDispatchCallback<stderr_callback>("stderr_callback");
+}
+
+auto logLevelFromName(std::string_view name) -> log_level
+{
+    for (const auto level :
+         {log_level::Debug, log_level::Info, log_level::Warning, log_level::Error}) {
+        if (levelName(level) == name) {
+            return level;
+        }
+    }
+    return log_level::Info;
+}
+
+auto log(log_level level, std::string_view message, std::initializer_list<log_field> fields) -> void
+{
+    if (level < minimumLevel.load(std::memory_order_relaxed)) {
+        return;
+    }
+    const auto line = formatLogLine(currentTime(), level, currentNodeName(), message, fields);
+    switch (level) {
+    case log_level::Debug:
+        LOG(DEBUG) << line;
+        return;
+    case log_level::Info:
+        LOG(INFO) << line;
+        return;
+    case log_level::Warning:
+        LOG(WARNING) << line;
+        return;
+    case log_level::Error:
+        LOG(ERROR) << line;
+        return;
+    }
+}
+
+} // namespace hawthornpick::base
--- /dev/null
+++ b/src/base/message.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/ids.h"
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace hawthornpick::base {
+
+//! Decision object that a control message belongs to. The numbers are part of the peer protocol.
+enum class channel : std::uint8_t {
+    Membership = 1,
+    Currency = 2,
+    Lease = 3,
+    Consensus = 4,
+    Distribution = 5,
+    Arbiter = 6,
+    Rate = 7,
+    Idempotency = 8,
+    Fence = 9,
+    CrashReport = 10,
+    Baseline = 11,
+};
+
+//! A message that a decision object asks the control runtime to send.
+struct outgoing_message
+{
+    node_id to;
+    channel kind = channel::Membership;
+    std::string payload;
+
+    auto operator<=>(const outgoing_message &) const = default;
+};
+
+} // namespace hawthornpick::base
--- /dev/null
+++ b/src/base/tests/errorkindtest.cpp
@@ -0,0 +1,56 @@
+#include "base/errorkind.h"
+#include "base/metrics.h"
+
+#include <CppUTest/TestHarness.h>
+#include <set>
+
+using namespace hawthornpick::base;
+
+TEST_GROUP(error_kind_table){};
+
+// Guards against a row at the wrong position, which would send another kind's answer.
+TEST(error_kind_table, rowsStandAtTheirKind)
+{
+    std::set<std::string_view> reasons;
+    for (std::size_t i = 0; i < ERROR_KIND_COUNT; ++i) {
+        const auto kind = errorKindFromNumber(static_cast<std::uint8_t>(i));
+        CHECK(kind.has_value());
+        CHECK(answerFor(*kind).kind == *kind);
+        CHECK(answerFor(*kind).httpStatus >= 400 && answerFor(*kind).httpStatus <= 599);
+        CHECK(!answerFor(*kind).description.empty());
+        reasons.insert(answerFor(*kind).reason);
+    }
+    CHECK_EQUAL(ERROR_KIND_COUNT, reasons.size());
+}
+
+TEST(error_kind_table, unknownNumberFromNewerPeerIsRejected)
+{
+    CHECK(!errorKindFromNumber(static_cast<std::uint8_t>(ERROR_KIND_COUNT)));
+    CHECK(!errorKindFromNumber(255));
+}
+
+// Guards against telling a caller to repeat a request that may have run.
+TEST(error_kind_table, unknownOutcomeIsNeverMarkedAsSafeToRepeat)
+{
+    for (const auto &row : errorTable()) {
+        if (row.result != outcome::NotRun && row.mayRetry) {
+            CHECK(row.kind == error_kind::IdempotencyInProgress);
+        }
+    }
+}
+
+TEST(error_kind_table, everyKindHasRefusalAndRetryCounter)
+{
+    metrics registry;
+    registry.countRefusal(error_kind::RateExceeded);
+    registry.countRetry(error_kind::QueueFull);
+    const auto text = registry.render();
+    CHECK(text.find("hawthornpick_refusals_total{reason=\"rate_exceeded\"} 1")
+          != std::string::npos);
+    CHECK(text.find("hawthornpick_retries_total{reason=\"queue_full\"} 1") != std::string::npos);
+    for (const auto &row : errorTable()) {
+        const auto label = "{reason=\"" + std::string(row.reason) + "\"}";
+        CHECK(text.find("hawthornpick_refusals_total" + label) != std::string::npos);
+        CHECK(text.find("hawthornpick_retries_total" + label) != std::string::npos);
+    }
+}
--- /dev/null
+++ b/src/config/internal/model.cpp
@@ -0,0 +1,186 @@
+#include "config/model.h"
+
+#include "base/thriftcodec.h"
+#include "config/generated/configwire_types.h"
+
+#include <algorithm>
+
+namespace hawthornpick::config {
+
+namespace {
+
+template <typename Item, typename Id>
+auto findSorted(const std::vector<Item> &items, const Id &id) -> const Item *
+{
+    const auto position =
+            std::lower_bound(items.begin(), items.end(), id,
+                             [](const Item &item, const Id &wanted) { return item.id < wanted; });
+    if (position == items.end() || position->id != id) {
+        return nullptr;
+    }
+    return &*position;
+}
+
+template <typename Item>
+auto isSortedById(const std::vector<Item> &items) -> bool
+{
+    return std::is_sorted(items.begin(), items.end(),
+                          [](const Item &left, const Item &right) { return left.id < right.id; });
+}
+
+auto toWire(const organisation &item) -> wire::organisation
+{
+    wire::organisation out;
+    out.id = item.id.str();
+    out.rate = item.rate;
+    out.burst = item.burst;
+    out.weight = item.weight;
+    return out;
+}
+
+auto toWire(const key &item) -> wire::api_key
+{
+    wire::api_key out;
+    out.id = item.id.str();
+    out.organisation = item.organisation.str();
+    out.digest = base::toBytes(item.digest);
+    return out;
+}
+
+auto toWire(const service &item) -> wire::service_entry
+{
+    wire::service_entry out;
+    out.id = item.id.str();
+    out.floor = item.floor;
+    out.timeout_ms = item.timeout.count();
+    out.connect_timeout_ms = item.connectTimeout.count();
+    out.queue_per_slot = item.queuePerSlot;
+    out.retry_percent = item.retryPercent;
+    out.max_attempts = item.maxAttempts;
+    out.warm_up_ms = item.warmUp.count();
+    return out;
+}
+
+auto toWire(const route &item) -> wire::route_entry
+{
+    wire::route_entry out;
+    out.id = item.id.str();
+    out.host = item.host;
+    out.path_prefix = item.pathPrefix;
+    out.methods = item.methods;
+    out.service_name = item.service.str();
+    out.access = static_cast<std::int8_t>(item.access);
+    out.idempotent = item.idempotent;
+    out.idempotency_key = static_cast<std::int8_t>(item.idempotencyKey);
+    out.record_life_ms = item.recordLife.count();
+    out.deadline_ms = item.deadline.count();
+    out.max_body_bytes = static_cast<std::int64_t>(item.maxBodyBytes);
+    return out;
+}
+
+auto fromWire(const wire::organisation &item) -> organisation
+{
+    return {base::organisation_id(item.id), item.rate, static_cast<std::uint32_t>(item.burst),
+            static_cast<std::uint32_t>(item.weight)};
+}
+
+auto fromWire(const wire::service_entry &item) -> service
+{
+    return {base::service_id(item.id),
+            item.floor,
+            base::milliseconds(item.timeout_ms),
+            base::milliseconds(item.connect_timeout_ms),
+            static_cast<std::uint32_t>(item.queue_per_slot),
+            static_cast<std::uint32_t>(item.retry_percent),
+            static_cast<std::uint32_t>(item.max_attempts),
+            base::milliseconds(item.warm_up_ms)};
+}
+
+auto fromWire(const wire::route_entry &item) -> route
+{
+    return {base::route_id(item.id),
+            item.host,
+            item.path_prefix,
+            item.methods,
+            base::service_id(item.service_name),
+            static_cast<route_access>(item.access),
+            item.idempotent,
+            static_cast<idempotency_key_use>(item.idempotency_key),
+            base::milliseconds(item.record_life_ms),
+            base::milliseconds(item.deadline_ms),
+            static_cast<std::uint64_t>(item.max_body_bytes)};
+}
+
+} // namespace
+
+auto findOrganisation(const config_set &set, const base::organisation_id &id)
+        -> const organisation *
+{
+    return findSorted(set.organisations, id);
+}
+
+auto findKey(const config_set &set, const base::key_id &id) -> const key *
+{
+    return findSorted(set.keys, id);
+}
+
+auto findService(const config_set &set, const base::service_id &id) -> const service *
+{
+    return findSorted(set.services, id);
+}
+
+auto encode(const config_set &set) -> std::string
+{
+    wire::config_set out;
+    for (const auto &item : set.organisations) {
+        out.organisations.push_back(toWire(item));
+    }
+    for (const auto &item : set.keys) {
+        out.keys.push_back(toWire(item));
+    }
+    for (const auto &item : set.services) {
+        out.services.push_back(toWire(item));
+    }
+    for (const auto &item : set.routes) {
+        out.routes.push_back(toWire(item));
+    }
+    return base::encodeThrift(out);
+}
+
+auto decode(std::string_view bytes) -> std::optional<config_set>
+{
+    const auto in = base::decodeThrift<wire::config_set>(bytes);
+    if (!in) {
+        return std::nullopt;
+    }
+    config_set set;
+    for (const auto &item : in->organisations) {
+        set.organisations.push_back(fromWire(item));
+    }
+    for (const auto &item : in->keys) {
+        const auto digest = base::digestFromBytes(item.digest);
+        if (!digest) {
+            return std::nullopt;
+        }
+        set.keys.push_back(
+                {base::key_id(item.id), base::organisation_id(item.organisation), *digest});
+    }
+    for (const auto &item : in->services) {
+        set.services.push_back(fromWire(item));
+    }
+    for (const auto &item : in->routes) {
+        set.routes.push_back(fromWire(item));
+    }
+    if (!isSortedById(set.organisations) || !isSortedById(set.keys) || !isSortedById(set.services)
+        || !isSortedById(set.routes)) {
+        return std::nullopt;
+    }
+    return set;
+}
+
+auto digestOf(const config_set &set) -> base::digest256
+{
+    return base::sha256(encode(set));
+}
+
+} // namespace hawthornpick::config
