--- /dev/null
+++ b/src/config/internal/declaration.cpp
@@ -0,0 +1,349 @@
+#include "config/declaration.h"
+
+#include "config/internal/sectionreader.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <map>
+#include <sstream>
+
+namespace hawthornpick::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr base::milliseconds MAX_DEADLINE = 5min;
+constexpr base::milliseconds MAX_RECORD_LIFE = 24h;
+constexpr double MAX_RATE = 1'000'000.0;
+constexpr std::uint64_t MAX_BURST = 1'000'000;
+
+struct place
+{
+    std::string file;
+    int line = 0;
+    std::string section;
+};
+
+//! Collects the items of all files and where each stands.
+class declaration_parser
+{
+public:
+    auto parseFile(const declaration_file &file) -> void
+    {
+        const auto document = parseIni(file.name, file.text, m_errors);
+        for (const auto &section : document.sections) {
+            parseSection(document.file, section);
+        }
+    }
+
+    auto finish() -> declaration_result
+    {
+        sortById(m_set.organisations);
+        sortById(m_set.keys);
+        sortById(m_set.services);
+        sortById(m_set.routes);
+        for (auto item : validate(m_set)) {
+            locate(item);
+            m_errors.push_back(std::move(item));
+        }
+        if (!m_errors.empty()) {
+            return tl::unexpected(std::move(m_errors));
+        }
+        return std::move(m_set);
+    }
+
+private:
+    template <typename Item>
+    static auto sortById(std::vector<Item> &items) -> void
+    {
+        std::sort(items.begin(), items.end(),
+                  [](const Item &left, const Item &right) { return left.id < right.id; });
+    }
+
+    auto locate(diagnostic &item) const -> void
+    {
+        const auto position = m_places.find(item.section);
+        if (position != m_places.end()) {
+            item.file = position->second.file;
+            item.line = position->second.line;
+        }
+    }
+
+    auto parseSection(const std::string &file, const ini_section &section) -> void
+    {
+        const auto space = section.name.find(' ');
+        const auto kind = section.name.substr(0, space);
+        const auto id = space == std::string::npos ? "" : section.name.substr(space + 1);
+        if (!isKnownKind(kind)) {
+            m_errors.push_back({file,
+                                section.line,
+                                section.name,
+                                {},
+                                "section is none of `[organisation NAME]`, `[key NAME]`, "
+                                "`[service NAME]` and `[route NAME]`"});
+            return;
+        }
+        if (!isName(id)) {
+            m_errors.push_back(
+                    {file,
+                     section.line,
+                     section.name,
+                     {},
+                     "section needs a name of 1 to 64 letters, digits, '-', '_' and '.'"});
+            return;
+        }
+        const auto [previous, isNew] =
+                m_places.emplace(section.name, place{file, section.line, section.name});
+        if (!isNew) {
+            m_errors.push_back({file,
+                                section.line,
+                                section.name,
+                                {},
+                                "section stands already in " + previous->second.file + ":"
+                                        + std::to_string(previous->second.line)});
+            return;
+        }
+        section_reader reader(file, section, m_errors);
+        parseItem(kind, id, reader);
+        reader.rejectUnknownKeys();
+    }
+
+    static auto isKnownKind(std::string_view kind) -> bool
+    {
+        return kind == "organisation" || kind == "key" || kind == "service" || kind == "route";
+    }
+
+    auto parseItem(std::string_view kind, const std::string &id, section_reader &reader) -> void
+    {
+        if (kind == "organisation") {
+            m_set.organisations.push_back(readOrganisation(id, reader));
+        } else if (kind == "key") {
+            m_set.keys.push_back(readKey(id, reader));
+        } else if (kind == "service") {
+            m_set.services.push_back(readService(id, reader));
+        } else {
+            m_set.routes.push_back(readRoute(id, reader));
+        }
+    }
+
+    static auto readOrganisation(const std::string &id, section_reader &reader) -> organisation
+    {
+        organisation item;
+        item.id = base::organisation_id(id);
+        reader.requiredText("rate");
+        reader.requiredText("burst");
+        item.rate = reader.decimal("rate", 1.0, 0.001, MAX_RATE);
+        item.burst = static_cast<std::uint32_t>(reader.number("burst", 1, 1, MAX_BURST));
+        item.weight = static_cast<std::uint32_t>(reader.number("weight", 1, 1, 100));
+        return item;
+    }
+
+    static auto readKey(const std::string &id, section_reader &reader) -> key
+    {
+        key item;
+        item.id = base::key_id(id);
+        item.organisation = base::organisation_id(reader.requiredName("organisation"));
+        const auto text = reader.requiredText("sha256");
+        const auto digest = base::digestFromHex(text);
+        if (digest) {
+            item.digest = *digest;
+        } else if (!text.empty()) {
+            reader.reject("sha256", "value is not 64 hexadecimal digits");
+        }
+        return item;
+    }
+
+    static auto readService(const std::string &id, section_reader &reader) -> service
+    {
+        service item;
+        item.id = base::service_id(id);
+        item.floor = reader.decimal("floor", item.floor, 0.0, 1.0);
+        item.timeout = reader.span("timeout_ms", item.timeout, 1ms, MAX_DEADLINE);
+        item.connectTimeout = reader.span("connect_timeout_ms", item.connectTimeout, 1ms, 30s);
+        item.queuePerSlot = static_cast<std::uint32_t>(
+                reader.number("queue_per_slot", item.queuePerSlot, 0, 1000));
+        item.retryPercent = static_cast<std::uint32_t>(
+                reader.number("retry_percent", item.retryPercent, 0, 100));
+        item.maxAttempts =
+                static_cast<std::uint32_t>(reader.number("max_attempts", item.maxAttempts, 1, 10));
+        item.warmUp = reader.span("warm_up_ms", item.warmUp, 0ms, 10min);
+        return item;
+    }
+
+    static auto readRoute(const std::string &id, section_reader &reader) -> route
+    {
+        route item;
+        item.id = base::route_id(id);
+        item.host = readHost(reader);
+        item.pathPrefix = readPathPrefix(reader);
+        item.methods = readMethods(reader);
+        item.service = base::service_id(reader.requiredName("service"));
+        item.access = static_cast<route_access>(reader.choice("access", {"keyed", "open"}, 0));
+        item.idempotent = reader.flag("idempotent", defaultIdempotence(item.methods));
+        item.idempotencyKey = static_cast<idempotency_key_use>(
+                reader.choice("idempotency_key", {"optional", "required"}, 0));
+        if (item.idempotent && item.idempotencyKey == idempotency_key_use::Required) {
+            reader.reject("idempotency_key", "value needs `idempotent = no`");
+        }
+        item.recordLife = reader.span("record_life_ms", item.recordLife, 1min, MAX_RECORD_LIFE);
+        item.deadline = reader.span("deadline_ms", item.deadline, 1ms, MAX_DEADLINE);
+        item.maxBodyBytes = reader.number("max_body_bytes", item.maxBodyBytes, 0, 1ULL << 32U);
+        return item;
+    }
+
+    static auto readHost(section_reader &reader) -> std::string
+    {
+        auto host = reader.text("host").value_or("");
+        std::transform(host.begin(), host.end(), host.begin(), [](char item) {
+            return static_cast<char>(std::tolower(static_cast<unsigned char>(item)));
+        });
+        if (!host.empty() && !isName(host)) {
+            reader.reject("host", "`" + host + "` is not a host name without port");
+        }
+        return host;
+    }
+
+    static auto readPathPrefix(section_reader &reader) -> std::string
+    {
+        auto path = reader.text("path").value_or("/");
+        const bool printable = std::all_of(path.begin(), path.end(),
+                                           [](char item) { return item > ' ' && item < 0x7f; });
+        if (!path.starts_with('/') || !printable || path.find('?') != std::string::npos) {
+            reader.reject("path", "`" + path + "` is not an absolute path without a query");
+        }
+        return path;
+    }
+
+    static auto readMethods(section_reader &reader) -> std::vector<std::string>
+    {
+        std::vector<std::string> methods;
+        std::istringstream words(reader.text("methods").value_or(""));
+        for (std::string word; words >> word;) {
+            const bool valid = std::all_of(word.begin(), word.end(),
+                                           [](char item) { return item >= 'A' && item <= 'Z'; });
+            if (!valid) {
+                reader.reject("methods", "`" + word + "` is not a method in capital letters");
+            }
+            methods.push_back(word);
+        }
+        std::sort(methods.begin(), methods.end());
+        methods.erase(std::unique(methods.begin(), methods.end()), methods.end());
+        return methods;
+    }
+
+    // A route that can carry POST or PATCH must be declared idempotent explicitly.
+    static auto defaultIdempotence(const std::vector<std::string> &methods) -> bool
+    {
+        constexpr std::array<std::string_view, 6> IDEMPOTENT{"DELETE",  "GET", "HEAD",
+                                                             "OPTIONS", "PUT", "TRACE"};
+        return !methods.empty()
+               && std::all_of(methods.begin(), methods.end(), [&](const std::string &method) {
+                      return std::find(IDEMPOTENT.begin(), IDEMPOTENT.end(), method)
+                             != IDEMPOTENT.end();
+                  });
+    }
+
+    config_set m_set;
+    std::map<std::string, place> m_places;
+    std::vector<diagnostic> m_errors;
+};
+
+auto sectionOf(std::string_view kind, const std::string &id) -> std::string
+{
+    return std::string(kind) + " " + id;
+}
+
+auto checkCount(std::string_view what, std::size_t count, std::size_t maximum,
+                std::vector<diagnostic> &errors) -> void
+{
+    if (count > maximum) {
+        errors.push_back({{},
+                          0,
+                          {},
+                          {},
+                          "set has " + std::to_string(count) + " " + std::string(what)
+                                  + "; the limit is " + std::to_string(maximum)});
+    }
+}
+
+auto checkKeys(const config_set &set, std::vector<diagnostic> &errors) -> void
+{
+    std::map<base::digest256, std::string> owners;
+    for (const auto &item : set.keys) {
+        const auto section = sectionOf("key", item.id.str());
+        if (!item.organisation.empty() && findOrganisation(set, item.organisation) == nullptr) {
+            errors.push_back({{},
+                              0,
+                              section,
+                              "organisation",
+                              "organisation `" + item.organisation.str() + "` is not declared"});
+        }
+        const auto [owner, isNew] = owners.emplace(item.digest, item.id.str());
+        if (!isNew) {
+            errors.push_back({{},
+                              0,
+                              section,
+                              "sha256",
+                              "digest is the same as that of key `" + owner->second + "`"});
+        }
+    }
+}
+
+auto checkRoutes(const config_set &set, std::vector<diagnostic> &errors) -> void
+{
+    using match_key = std::tuple<std::string, std::string, std::string>;
+    std::map<match_key, std::string> owners;
+    for (const auto &item : set.routes) {
+        const auto section = sectionOf("route", item.id.str());
+        if (!item.service.str().empty() && findService(set, item.service) == nullptr) {
+            errors.push_back({{},
+                              0,
+                              section,
+                              "service",
+                              "service `" + item.service.str() + "` is not declared"});
+        }
+        auto methods = item.methods;
+        if (methods.empty()) {
+            methods.emplace_back("any method");
+        }
+        for (const auto &method : methods) {
+            const auto [owner, isNew] =
+                    owners.emplace(match_key{item.host, item.pathPrefix, method}, item.id.str());
+            if (!isNew) {
+                errors.push_back({{},
+                                  0,
+                                  section,
+                                  "path",
+                                  "route `" + owner->second
+                                          + "` matches the same host and path for " + method});
+            }
+        }
+    }
+}
+
+} // namespace
+
+auto validate(const config_set &set) -> std::vector<diagnostic>
+{
+    std::vector<diagnostic> errors;
+    checkCount("organisations", set.organisations.size(), MAX_ORGANISATIONS, errors);
+    checkCount("keys", set.keys.size(), MAX_KEYS, errors);
+    checkCount("services", set.services.size(), MAX_SERVICES, errors);
+    checkCount("routes", set.routes.size(), MAX_ROUTES, errors);
+    checkKeys(set, errors);
+    checkRoutes(set, errors);
+    return errors;
+}
+
+auto parseDeclaration(const std::vector<declaration_file> &files) -> declaration_result
+{
+    declaration_parser parser;
+    for (const auto &file : files) {
+        parser.parseFile(file);
+    }
+    return parser.finish();
+}
+
+} // namespace hawthornpick::config
--- /dev/null
+++ b/src/config/internal/sectionreader.cpp
@@ -0,0 +1,239 @@
+#include "config/internal/sectionreader.h"
+
+#include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+#include <cmath>
+
+namespace hawthornpick::config {
+
+namespace {
+
+template <typename Number>
+auto parseNumber(std::string_view text) -> std::optional<Number>
+{
+    Number value{};
+    const auto *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    if (parsed.ec != std::errc() || parsed.ptr != end) {
+        return std::nullopt;
+    }
+    return value;
+}
+
+auto formatNumber(double value) -> std::string
+{
+    auto text = std::to_string(value);
+    text.erase(text.find_last_not_of('0') + 1);
+    if (text.ends_with('.')) {
+        text.pop_back();
+    }
+    return text;
+}
+
+auto quoted(const std::string &text) -> std::string
+{
+    return "`" + text + "`";
+}
+
+} // namespace
+
+auto isName(std::string_view text) -> bool
+{
+    if (text.empty() || text.size() > MAX_NAME_BYTES) {
+        return false;
+    }
+    return std::all_of(text.begin(), text.end(), [](char item) {
+        return (item >= 'a' && item <= 'z') || (item >= 'A' && item <= 'Z')
+               || (item >= '0' && item <= '9') || item == '-' || item == '_' || item == '.';
+    });
+}
+
+auto parseEndpoint(std::string_view text) -> std::optional<membership::endpoint>
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    auto host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']')) {
+        host = host.substr(1, host.size() - 2);
+    }
+    const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
+    boost::system::error_code failure;
+    const auto address = boost::asio::ip::make_address(std::string(host), failure);
+    if (failure || !port) {
+        return std::nullopt;
+    }
+    return membership::endpoint{address.to_string(), *port};
+}
+
+section_reader::section_reader(const std::string &file, const ini_section &section,
+                               std::vector<diagnostic> &errors)
+    : m_file(file), m_section(section), m_errors(errors)
+{}
+
+auto section_reader::find(std::string_view key) -> const ini_entry *
+{
+    m_known.emplace(key);
+    const ini_entry *found = nullptr;
+    for (const auto &entry : m_section.entries) {
+        if (entry.key != key) {
+            continue;
+        }
+        if (found != nullptr) {
+            m_errors.push_back(
+                    {m_file, entry.line, m_section.name, entry.key,
+                     "value is given twice, first in line " + std::to_string(found->line)});
+            return found;
+        }
+        found = &entry;
+    }
+    return found;
+}
+
+auto section_reader::text(std::string_view key) -> std::optional<std::string>
+{
+    const auto *entry = find(key);
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    return entry->value;
+}
+
+auto section_reader::requiredText(std::string_view key) -> std::string
+{
+    auto value = text(key);
+    if (!value || value->empty()) {
+        reject(key, "value is missing");
+        return {};
+    }
+    return *value;
+}
+
+auto section_reader::requiredName(std::string_view key) -> std::string
+{
+    auto value = text(key);
+    if (!value) {
+        reject(key, "value is missing");
+        return {};
+    }
+    if (!isName(*value)) {
+        reject(key, quoted(*value) + " is not a name of 1 to 64 letters, digits, '-', '_' and '.'");
+        return {};
+    }
+    return *value;
+}
+
+auto section_reader::list(std::string_view key) -> std::vector<ini_entry>
+{
+    m_known.emplace(key);
+    std::vector<ini_entry> found;
+    std::copy_if(m_section.entries.begin(), m_section.entries.end(), std::back_inserter(found),
+                 [key](const ini_entry &entry) { return entry.key == key; });
+    return found;
+}
+
+auto section_reader::number(std::string_view key, std::uint64_t fallback, std::uint64_t minimum,
+                            std::uint64_t maximum) -> std::uint64_t
+{
+    const auto *entry = find(key);
+    if (entry == nullptr) {
+        return fallback;
+    }
+    const auto value = parseNumber<std::uint64_t>(entry->value);
+    if (!value || *value < minimum || *value > maximum) {
+        reject(key, quoted(entry->value) + " is not a whole number from " + std::to_string(minimum)
+                            + " to " + std::to_string(maximum));
+        return fallback;
+    }
+    return *value;
+}
+
+auto section_reader::decimal(std::string_view key, double fallback, double minimum, double maximum)
+        -> double
+{
+    const auto *entry = find(key);
+    if (entry == nullptr) {
+        return fallback;
+    }
+    const auto value = parseNumber<double>(entry->value);
+    if (!value || !std::isfinite(*value) || *value < minimum || *value > maximum) {
+        reject(key, quoted(entry->value) + " is not a number from " + formatNumber(minimum) + " to "
+                            + formatNumber(maximum));
+        return fallback;
+    }
+    return *value;
+}
+
+auto section_reader::span(std::string_view key, base::milliseconds fallback,
+                          base::milliseconds minimum, base::milliseconds maximum)
+        -> base::milliseconds
+{
+    return base::milliseconds(number(key, static_cast<std::uint64_t>(fallback.count()),
+                                     static_cast<std::uint64_t>(minimum.count()),
+                                     static_cast<std::uint64_t>(maximum.count())));
+}
+
+auto section_reader::flag(std::string_view key, bool fallback) -> bool
+{
+    return choice(key, {"no", "yes"}, fallback ? 1 : 0) == 1;
+}
+
+auto section_reader::choice(std::string_view key, const std::vector<std::string> &allowed,
+                            std::size_t fallback) -> std::size_t
+{
+    const auto *entry = find(key);
+    if (entry == nullptr) {
+        return fallback;
+    }
+    const auto position = std::find(allowed.begin(), allowed.end(), entry->value);
+    if (position != allowed.end()) {
+        return static_cast<std::size_t>(position - allowed.begin());
+    }
+    std::string names;
+    for (const auto &name : allowed) {
+        names += (names.empty() ? "" : ", ") + quoted(name);
+    }
+    reject(key, quoted(entry->value) + " is not one of " + names);
+    return fallback;
+}
+
+auto section_reader::endpoint(std::string_view key, bool required) -> membership::endpoint
+{
+    const auto *entry = find(key);
+    if (entry == nullptr) {
+        if (required) {
+            reject(key, "value is missing");
+        }
+        return {};
+    }
+    const auto value = parseEndpoint(entry->value);
+    if (!value) {
+        reject(key, quoted(entry->value)
+                            + " is not an IP address with a port, such as "
+                              "192.0.2.1:7000");
+        return {};
+    }
+    return *value;
+}
+
+auto section_reader::reject(std::string_view key, std::string message) -> void
+{
+    const auto entry = std::find_if(m_section.entries.begin(), m_section.entries.end(),
+                                    [key](const ini_entry &item) { return item.key == key; });
+    const int line = entry == m_section.entries.end() ? m_section.line : entry->line;
+    m_errors.push_back({m_file, line, m_section.name, std::string(key), std::move(message)});
+}
+
+auto section_reader::rejectUnknownKeys() -> void
+{
+    for (const auto &entry : m_section.entries) {
+        if (!m_known.contains(entry.key)) {
+            m_errors.push_back(
+                    {m_file, entry.line, m_section.name, entry.key, "key is not known here"});
+        }
+    }
+}
+
+} // namespace hawthornpick::config
--- /dev/null
+++ b/src/config/internal/settings.cpp
@@ -0,0 +1,170 @@
+#include "config/settings.h"
+
+#include "config/internal/sectionreader.h"
+
+#include <algorithm>
+#include <set>
+
+namespace hawthornpick::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t MIN_SECRET_BYTES = 16;
+
+auto parseNamedNode(const ini_entry &entry, section_reader &reader) -> named_node
+{
+    const auto at = entry.value.find('@');
+    const auto id = entry.value.substr(0, at);
+    const auto address =
+            at == std::string::npos ? std::nullopt : parseEndpoint(entry.value.substr(at + 1));
+    if (!isName(id) || !address) {
+        reader.reject(entry.key, "`" + entry.value + "` is not of the form NODE@ADDRESS:PORT");
+        return {};
+    }
+    return {base::node_id(id), *address};
+}
+
+auto readNamedNodes(std::string_view key, section_reader &reader) -> std::vector<named_node>
+{
+    std::vector<named_node> nodes;
+    std::set<base::node_id> seen;
+    for (const auto &entry : reader.list(key)) {
+        auto item = parseNamedNode(entry, reader);
+        if (!item.id.empty() && !seen.insert(item.id).second) {
+            reader.reject(key, "node `" + item.id.str() + "` is listed twice");
+        }
+        nodes.push_back(std::move(item));
+    }
+    return nodes;
+}
+
+auto readSecret(std::string_view key, bool required, section_reader &reader) -> std::string
+{
+    auto value = required ? reader.requiredText(key) : reader.text(key).value_or("");
+    if (!value.empty() && value.size() < MIN_SECRET_BYTES) {
+        reader.reject(key, "value is shorter than " + std::to_string(MIN_SECRET_BYTES) + " bytes");
+    }
+    return value;
+}
+
+auto readNode(section_reader &reader, settings &out) -> void
+{
+    out.node = base::node_id(reader.requiredName("name"));
+    out.host = reader.requiredName("host");
+    out.region = base::region_id(reader.requiredName("region"));
+    out.failureDomain = base::failure_domain_id(reader.requiredName("failure_domain"));
+    out.dataFolder = reader.text("data_folder").value_or("");
+    out.ioThreads = static_cast<std::uint32_t>(reader.number("io_threads", out.ioThreads, 1, 64));
+    out.maxCallerConnections = static_cast<std::uint32_t>(
+            reader.number("max_caller_connections", out.maxCallerConnections, 1, 100'000));
+    out.regionLinkBytesPerSecond = reader.number("region_link_bytes_per_second",
+                                                 out.regionLinkBytesPerSecond, 1000, 1ULL << 40U);
+    out.shutdownLimit = reader.span("shutdown_limit_ms", out.shutdownLimit, 0ms, 1h);
+    out.profile = static_cast<policy_profile>(
+            reader.choice("profile", {"balanced", "fast-detection", "few-false-ejections"}, 0));
+    out.logLevel = static_cast<base::log_level>(
+            reader.choice("log_level", {"debug", "info", "warning", "error"}, 1));
+}
+
+auto readListen(section_reader &reader, settings &out) -> void
+{
+    out.callerAddress = reader.endpoint("callers", true);
+    out.peerAddress = reader.endpoint("peers", true);
+    out.advertisedPeerAddress = reader.endpoint("advertised_peers", false);
+    if (out.advertisedPeerAddress.address.empty()) {
+        out.advertisedPeerAddress = out.peerAddress;
+    }
+    out.announceAddress = reader.endpoint("announce", true);
+    out.operatorAddress = reader.endpoint("operators", true);
+    out.platformAddress = reader.endpoint("platform", true);
+}
+
+auto readFleet(section_reader &reader, settings &out) -> void
+{
+    out.seeds = readNamedNodes("seed", reader);
+    out.controllers = readNamedNodes("controller", reader);
+    out.fleetSecret = readSecret("secret", true, reader);
+    out.operatorKey = readSecret("operator_key", false, reader);
+    if (out.controllers.empty()) {
+        reader.reject("controller", "at least one controller must be listed");
+    }
+}
+
+auto readWitnesses(const std::string &region, section_reader &reader, settings &out) -> void
+{
+    if (!isName(region)) {
+        reader.reject("witness", "section needs the name of a region, such as [witnesses norte]");
+        return;
+    }
+    out.witnesses[base::region_id(region)] = readNamedNodes("witness", reader);
+}
+
+auto checkRoles(const std::string &file, const settings &out, std::vector<diagnostic> &errors)
+        -> void
+{
+    const auto isController =
+            std::any_of(out.controllers.begin(), out.controllers.end(),
+                        [&out](const named_node &item) { return item.id == out.node; });
+    if (isController && out.dataFolder.empty()) {
+        errors.push_back({file, 0, "node", "data_folder",
+                          "node is listed as a controller and needs a data folder"});
+    }
+    const auto own = out.witnesses.find(out.region);
+    if (!out.region.empty() && (own == out.witnesses.end() || own->second.empty())) {
+        errors.push_back({file, 0, "witnesses " + out.region.str(), "witness",
+                          "the node's region has no witness"});
+    }
+}
+
+} // namespace
+
+auto parseSettings(std::string_view fileName, std::string_view text)
+        -> tl::expected<settings, std::vector<diagnostic>>
+{
+    std::vector<diagnostic> errors;
+    const auto document = parseIni(fileName, text, errors);
+    settings out;
+    std::set<std::string> seen;
+    for (const auto &section : document.sections) {
+        if (!seen.insert(section.name).second) {
+            errors.push_back(
+                    {document.file, section.line, section.name, {}, "section is given twice"});
+            continue;
+        }
+        section_reader reader(document.file, section, errors);
+        if (section.name == "node") {
+            readNode(reader, out);
+        } else if (section.name == "listen") {
+            readListen(reader, out);
+        } else if (section.name == "fleet") {
+            readFleet(reader, out);
+        } else if (section.name.starts_with("witnesses ")) {
+            readWitnesses(section.name.substr(10), reader, out);
+        } else {
+            errors.push_back({document.file,
+                              section.line,
+                              section.name,
+                              {},
+                              "section is none of [node], [listen], [fleet] and "
+                              "[witnesses REGION]"});
+            continue;
+        }
+        reader.rejectUnknownKeys();
+    }
+    for (const auto *name : {"node", "listen", "fleet"}) {
+        if (!seen.contains(name)) {
+            errors.push_back({document.file, 0, name, {}, "section is missing"});
+        }
+    }
+    if (errors.empty()) {
+        checkRoles(document.file, out, errors);
+    }
+    if (!errors.empty()) {
+        return tl::unexpected(std::move(errors));
+    }
+    return out;
+}
+
+} // namespace hawthornpick::config
