--- /dev/null
+++ b/src/webapi/internal/server.cpp
@@ -0,0 +1,206 @@
+#include "webapi/server.h"
+
+#include "base/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/url/parse.hpp>
+#include <boost/url/src.hpp>
+#include <chrono>
+#include <set>
+
+namespace hawthornpick::webapi {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+constexpr std::chrono::seconds IDLE_TIMEOUT{30};
+constexpr std::uint32_t HEADER_LIMIT_BYTES = 16 * 1024;
+constexpr std::string_view BEARER = "Bearer ";
+
+auto tokenOf(std::string_view authorization) -> std::string
+{
+    if (!authorization.starts_with(BEARER)) {
+        return {};
+    }
+    return std::string(authorization.substr(BEARER.size()));
+}
+
+auto toRequest(const http::request<http::string_body> &message) -> std::optional<request>
+{
+    const auto target = message.target();
+    const auto url = boost::urls::parse_origin_form({target.data(), target.size()});
+    if (!url) {
+        return std::nullopt;
+    }
+    request out;
+    out.method = std::string(message.method_string());
+    out.path = url->path();
+    for (const auto &item : url->params()) {
+        out.query[item.key] = item.value;
+    }
+    out.bearerToken = tokenOf(message[http::field::authorization]);
+    out.body = message.body();
+    return out;
+}
+
+} // namespace
+
+class server_state : public std::enable_shared_from_this<server_state>
+{
+public:
+    server_state(asio::io_context &context, const membership::endpoint &address,
+                 server_limits limits, request_handler handler)
+        : m_context(context),
+          m_acceptor(context, {asio::ip::make_address(address.address), address.port}),
+          m_limits(limits), m_handler(std::move(handler))
+    {}
+
+    auto address() const -> membership::endpoint
+    {
+        const auto local = m_acceptor.local_endpoint();
+        return {local.address().to_string(), local.port()};
+    }
+
+    auto start() -> void
+    {
+        asio::co_spawn(m_context, acceptLoop(shared_from_this()), asio::detached);
+    }
+
+    auto stop() -> void
+    {
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        for (auto *stream : std::set(m_streams)) {
+            stream->socket().close(ignored);
+        }
+    }
+
+private:
+    static auto acceptLoop(std::shared_ptr<server_state> self) -> asio::awaitable<void>
+    {
+        while (self->m_acceptor.is_open()) {
+            boost::system::error_code failure;
+            auto socket = co_await self->m_acceptor.async_accept(
+                    asio::redirect_error(asio::use_awaitable, failure));
+            if (failure == asio::error::operation_aborted) {
+                co_return;
+            }
+            if (failure || self->m_streams.size() >= self->m_limits.maxConnections) {
+                continue;
+            }
+            asio::co_spawn(self->m_context, serve(self, std::move(socket)), asio::detached);
+        }
+    }
+
+    static auto serve(std::shared_ptr<server_state> self, tcp::socket socket)
+            -> asio::awaitable<void>
+    {
+        beast::tcp_stream stream(std::move(socket));
+        self->m_streams.insert(&stream);
+        beast::flat_buffer buffer;
+        bool open = true;
+        while (open) {
+            open = co_await self->serveOne(stream, buffer);
+        }
+        self->m_streams.erase(&stream);
+        boost::system::error_code ignored;
+        stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
+
+    auto serveOne(beast::tcp_stream &stream, beast::flat_buffer &buffer) -> asio::awaitable<bool>
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(HEADER_LIMIT_BYTES);
+        parser.body_limit(m_limits.maxBodyBytes);
+        boost::system::error_code failure;
+        stream.expires_after(IDLE_TIMEOUT);
+        co_await http::async_read(stream, buffer, parser,
+                                  asio::redirect_error(asio::use_awaitable, failure));
+        if (failure == http::error::body_limit) {
+            // GCC 12 destroys an aggregate temporary in a co_await expression twice.
+            const response tooLarge{413, "text/plain", "body is too large\n"};
+            co_await write(stream, tooLarge, false);
+            co_return false;
+        }
+        if (failure) {
+            co_return false;
+        }
+        // The handler may wait for a change to come into force, which takes longer than a read.
+        stream.expires_never();
+        const bool keepAlive = parser.get().keep_alive();
+        const auto answer = co_await answerTo(parser.get());
+        co_return co_await write(stream, answer, keepAlive) && keepAlive;
+    }
+
+    auto answerTo(const http::request<http::string_body> &message) -> asio::awaitable<response>
+    {
+        auto incoming = toRequest(message);
+        if (!incoming) {
+            co_return response{400, "text/plain", "target is not a path\n"};
+        }
+        try {
+            co_return co_await m_handler(std::move(*incoming));
+        } catch (const std::exception &problem) {
+            base::log(base::log_level::Error, "request handler failed",
+                      {{"target", std::string(message.target())}, {"error", problem.what()}});
+        }
+        co_return response{500, "text/plain", "internal error\n"};
+    }
+
+    static auto write(beast::tcp_stream &stream, const response &answer, bool keepAlive)
+            -> asio::awaitable<bool>
+    {
+        http::response<http::string_body> message;
+        message.version(11);
+        message.result(answer.status);
+        message.set(http::field::content_type, answer.contentType);
+        message.keep_alive(keepAlive);
+        message.body() = answer.body;
+        message.prepare_payload();
+        boost::system::error_code failure;
+        stream.expires_after(IDLE_TIMEOUT);
+        co_await http::async_write(stream, message,
+                                   asio::redirect_error(asio::use_awaitable, failure));
+        co_return !failure;
+    }
+
+    asio::io_context &m_context;
+    tcp::acceptor m_acceptor;
+    server_limits m_limits;
+    request_handler m_handler;
+    std::set<beast::tcp_stream *> m_streams;
+};
+
+server::server(asio::io_context &context, const membership::endpoint &address, server_limits limits,
+               request_handler handler)
+    : m_state(std::make_shared<server_state>(context, address, limits, std::move(handler)))
+{
+    m_state->start();
+}
+
+server::~server()
+{
+    m_state->stop();
+}
+
+auto server::address() const -> membership::endpoint
+{
+    return m_state->address();
+}
+
+auto server::stop() -> void
+{
+    m_state->stop();
+}
+
+} // namespace hawthornpick::webapi
