Add the operator HTTP interface

Operators apply sets and read state over HTTP with an operator key on an own address. Adds changes, history, status, members, upstreams and controller replacement over a small access structure that the node fills in.

--- /dev/null
+++ b/src/operators/apitypes.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "config/declaration.h"
+#include "config/diagnostic.h"
+#include "operators/fleetaccess.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+namespace hawthornpick::operators {
+
+//! Body of `POST /v1/changes` before its files are parsed.
+struct change_submission
+{
+    std::string changeId;
+    base::config_version baseVersion = 0;
+    std::vector<config::declaration_file> files;
+
+    auto operator<=>(const change_submission &) const = default;
+};
+
+//! Names of the states in JSON: "in_force", "rejected", "undecided". Thread safety: pure.
+auto changeStateName(change_state state) -> std::string_view;
+
+//! JSON forms of the interface's bodies. The parsers return nothing for any other text.
+//! Thread safety of all: pure.
+auto toJson(const change_submission &submission) -> std::string;
+auto parseChangeSubmission(std::string_view text) -> std::optional<change_submission>;
+auto toJson(const change_answer &answer) -> std::string;
+auto parseChangeAnswer(std::string_view text) -> std::optional<change_answer>;
+auto toJson(const std::vector<config::diagnostic> &errors) -> std::string;
+auto toJson(const std::vector<history_entry> &entries) -> std::string;
+
+} // namespace hawthornpick::operators
--- /dev/null
+++ b/src/operators/internal/apitypes.cpp
@@ -0,0 +1,118 @@
+#include "operators/apitypes.h"
+
+#include "webapi/json.h"
+
+#include <boost/json.hpp>
+
+namespace hawthornpick::operators {
+
+namespace json = boost::json;
+
+auto changeStateName(change_state state) -> std::string_view
+{
+    switch (state) {
+    case change_state::InForce:
+        return "in_force";
+    case change_state::Rejected:
+        return "rejected";
+    case change_state::Undecided:
+        return "undecided";
+    }
+    return "undecided";
+}
+
+auto toJson(const change_submission &submission) -> std::string
+{
+    json::array files;
+    for (const auto &file : submission.files) {
+        files.push_back(json::object{{"name", file.name}, {"text", file.text}});
+    }
+    return webapi::toText(json::object{{"change_id", submission.changeId},
+                                       {"base_version", submission.baseVersion},
+                                       {"files", std::move(files)}});
+}
+
+auto parseChangeSubmission(std::string_view text) -> std::optional<change_submission>
+{
+    const auto object = webapi::parseObject(text);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto changeId = webapi::textMember(*object, "change_id");
+    const auto baseVersion = webapi::numberMember(*object, "base_version");
+    const auto *files = object->if_contains("files");
+    if (!changeId || changeId->empty() || !baseVersion || files == nullptr || !files->is_array()) {
+        return std::nullopt;
+    }
+    change_submission submission{*changeId, *baseVersion, {}};
+    for (const auto &item : files->as_array()) {
+        if (!item.is_object()) {
+            return std::nullopt;
+        }
+        auto name = webapi::textMember(item.as_object(), "name");
+        auto content = webapi::textMember(item.as_object(), "text");
+        if (!name || !content) {
+            return std::nullopt;
+        }
+        submission.files.push_back({std::move(*name), std::move(*content)});
+    }
+    return submission;
+}
+
+auto toJson(const change_answer &answer) -> std::string
+{
+    return webapi::toText(json::object{{"state", json::string(changeStateName(answer.state))},
+                                       {"version", answer.version},
+                                       {"digest", answer.digest},
+                                       {"reason", answer.reason}});
+}
+
+auto parseChangeAnswer(std::string_view text) -> std::optional<change_answer>
+{
+    const auto object = webapi::parseObject(text);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto stateName = webapi::textMember(*object, "state");
+    const auto version = webapi::numberMember(*object, "version");
+    if (!stateName || !version) {
+        return std::nullopt;
+    }
+    for (const auto state :
+         {change_state::InForce, change_state::Rejected, change_state::Undecided}) {
+        if (changeStateName(state) == *stateName) {
+            return change_answer{state, *version,
+                                 webapi::textMember(*object, "digest").value_or(""),
+                                 webapi::textMember(*object, "reason").value_or("")};
+        }
+    }
+    return std::nullopt;
+}
+
+auto toJson(const std::vector<config::diagnostic> &errors) -> std::string
+{
+    json::array items;
+    for (const auto &item : errors) {
+        items.push_back(json::object{{"file", item.file},
+                                     {"line", item.line},
+                                     {"section", item.section},
+                                     {"key", item.key},
+                                     {"message", item.message}});
+    }
+    return webapi::toText(json::object{{"errors", std::move(items)}});
+}
+
+auto toJson(const std::vector<history_entry> &entries) -> std::string
+{
+    json::array items;
+    for (const auto &entry : entries) {
+        items.push_back(json::object{
+                {"version", entry.version},
+                {"digest", entry.digest},
+                {"change_id", entry.changeId},
+                {"differences", json::array(entry.differences.begin(), entry.differences.end())}});
+    }
+    return webapi::toText(json::object{{"versions", std::move(items)}});
+}
+
+} // namespace hawthornpick::operators
--- /dev/null
+++ b/src/operators/operatorserver.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "operators/fleetaccess.h"
+#include "webapi/server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+
+namespace hawthornpick::operators {
+
+//! HTTP interface for operators, on an address of its own. Each request carries the operator key.
+class operator_server
+{
+public:
+    //! An empty `operatorKey` refuses every request.
+    //! Throws boost::system::system_error if the address is in use.
+    //! Precondition: `context` is run by one thread and outlives the server.
+    operator_server(boost::asio::io_context &context, const membership::endpoint &address,
+                    const std::string &operatorKey, fleet_access access);
+
+    //! Address in use. Thread safety: any thread.
+    [[nodiscard]] auto address() const -> membership::endpoint { return m_server.address(); }
+
+    //! Stops serving. Thread safety: the thread of the io_context.
+    auto stop() -> void { m_server.stop(); }
+
+private:
+    auto handle(webapi::request incoming) -> boost::asio::awaitable<webapi::response>;
+    [[nodiscard]] auto isAuthorized(const webapi::request &incoming) const -> bool;
+    auto postChange(const webapi::request &incoming) -> boost::asio::awaitable<webapi::response>;
+    auto getChange(std::string changeId) -> boost::asio::awaitable<webapi::response>;
+    auto getHistory() -> boost::asio::awaitable<webapi::response>;
+    auto getStatus() -> boost::asio::awaitable<webapi::response>;
+    auto postReplacement(const webapi::request &incoming)
+            -> boost::asio::awaitable<webapi::response>;
+    auto getMembers() const -> webapi::response;
+    auto getUpstreams() const -> webapi::response;
+
+    boost::asio::io_context &m_context;
+    base::digest256 m_keyDigest;
+    bool m_hasKey;
+    fleet_access m_access;
+    webapi::server m_server;
+};
+
+} // namespace hawthornpick::operators
