Add peer link with handshake, streams and messages

The request path and the control runtime need a multiplexed link between nodes. Only the connecting side opens streams, so it alone decides when a link is idle and no stream can be lost to a close by the other side.

--- /dev/null
+++ b/src/peer/internal/link.cpp
@@ -0,0 +1,390 @@
+#include "peer/link.h"
+
+#include "base/log.h"
+#include "peer/internal/connection.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace hawthornpick::peer {
+
+namespace asio = boost::asio;
+
+namespace {
+
+//! Messages that wait for a link to one node; more are dropped, because senders repeat them.
+constexpr std::size_t MAX_WAITING_MESSAGES = 64;
+//! A longer gap between two maintenance runs shows that this process did not run.
+constexpr base::milliseconds DELAY_LIMIT = 2 * PING_INTERVAL;
+
+using connection_pointer = std::shared_ptr<connection>;
+using link_key = std::pair<base::node_id, membership::endpoint>;
+
+//! Attempt to open a link, shared by all callers that need it.
+struct link_attempt
+{
+    explicit link_attempt(const asio::any_io_executor &executor)
+        : finished(executor, asio::steady_timer::time_point::max())
+    {}
+
+    asio::steady_timer finished;
+    base::result<connection_pointer> outcome =
+            base::fail(base::error_kind::PeerUnreachable, "link attempt is under way");
+    bool isFinished = false;
+};
+
+auto parseEndpoint(const membership::endpoint &address) -> base::result<asio::ip::tcp::endpoint>
+{
+    boost::system::error_code error;
+    const auto parsed = asio::ip::make_address(address.address, error);
+    if (error) {
+        return base::fail(base::error_kind::PeerUnreachable,
+                          "not an IP address: " + address.address);
+    }
+    return asio::ip::tcp::endpoint(parsed, address.port);
+}
+
+} // namespace
+
+class link_pool_state : public std::enable_shared_from_this<link_pool_state>
+{
+public:
+    link_pool_state(asio::io_context &context, link_identity identity, stream_handler onStream,
+                    message_handler onMessage)
+        : m_context(context), m_identity(std::move(identity)), m_onStream(std::move(onStream)),
+          m_onMessage(std::move(onMessage)), m_maintenance(context)
+    {}
+
+    auto open(base::node_id node, membership::endpoint address, base::incarnation expected)
+            -> asio::awaitable<base::result<stream_pointer>>
+    {
+        auto link = co_await usableLink(node, address, expected);
+        if (!link) {
+            co_return tl::unexpected(link.error());
+        }
+        co_return std::make_unique<stream>(std::make_shared<stream_state>(std::move(*link)));
+    }
+
+    auto sendMessage(const base::node_id &node, const membership::endpoint &address,
+                     base::channel kind, std::string payload) -> void
+    {
+        const auto existing = m_outgoing.find(node);
+        if (existing != m_outgoing.end() && existing->second->isOpen()) {
+            existing->second->sendMessage(kind, payload);
+            return;
+        }
+        auto &waiting = m_waitingMessages[node];
+        if (waiting >= MAX_WAITING_MESSAGES || m_isClosed) {
+            return;
+        }
+        ++waiting;
+        asio::co_spawn(m_context,
+                       sendWhenOpen(shared_from_this(), node, address, kind, std::move(payload)),
+                       asio::detached);
+    }
+
+    auto serve(asio::ip::tcp::socket socket) -> void
+    {
+        if (m_isClosed) {
+            return;
+        }
+        const auto link = add(std::move(socket), true);
+        asio::co_spawn(m_context, runAccepted(link), asio::detached);
+    }
+
+    [[nodiscard]] auto linkCount() const -> std::size_t { return m_links.size(); }
+
+    auto drain() -> void { m_isDraining = true; }
+
+    auto close() -> void
+    {
+        m_isClosed = true;
+        m_maintenance.cancel();
+        for (const auto &link : std::set(m_links)) {
+            link->close("link pool was closed");
+        }
+    }
+
+private:
+    auto usableLink(base::node_id node, membership::endpoint address, base::incarnation expected)
+            -> asio::awaitable<base::result<connection_pointer>>
+    {
+        const auto existing = m_outgoing.find(node);
+        if (existing != m_outgoing.end()) {
+            const auto link = existing->second;
+            if (expected != 0 && link->peerIncarnation() > expected) {
+                co_return base::fail(base::error_kind::IncarnationChanged, "peer has restarted");
+            }
+            // An older incarnation than expected is the link to a process that is gone.
+            const bool isMatching = expected == 0 || link->peerIncarnation() == expected;
+            if (isMatching && co_await link->confirm()) {
+                co_return link;
+            }
+        }
+        auto link = co_await sharedAttempt(link_key(node, address));
+        if (link && expected != 0 && (*link)->peerIncarnation() != expected) {
+            co_return base::fail(base::error_kind::IncarnationChanged,
+                                 "peer has another incarnation");
+        }
+        co_return link;
+    }
+
+    auto sharedAttempt(link_key key) -> asio::awaitable<base::result<connection_pointer>>
+    {
+        if (m_isClosed) {
+            co_return base::fail(base::error_kind::PeerUnreachable, "link pool was closed");
+        }
+        auto &entry = m_attempts[key];
+        if (!entry) {
+            entry = std::make_shared<link_attempt>(m_context.get_executor());
+            asio::co_spawn(m_context, runAttempt(shared_from_this(), key, entry), asio::detached);
+        }
+        const auto attempt = entry;
+        while (!attempt->isFinished) {
+            boost::system::error_code ignored;
+            co_await attempt->finished.async_wait(
+                    asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        co_return attempt->outcome;
+    }
+
+    static auto runAttempt(std::shared_ptr<link_pool_state> self, link_key key,
+                           std::shared_ptr<link_attempt> attempt) -> asio::awaitable<void>
+    {
+        attempt->outcome = co_await self->connect(key.first, key.second);
+        attempt->isFinished = true;
+        attempt->finished.cancel();
+        self->m_attempts.erase(key);
+        if (!attempt->outcome) {
+            base::log(base::log_level::Debug, "link could not be opened",
+                      {{"peer", key.first.str()}, {"reason", attempt->outcome.error().detail}});
+            co_return;
+        }
+        const auto link = *attempt->outcome;
+        if (!link->isOpen()) {
+            co_return;
+        }
+        self->m_outgoing[key.first] = link;
+        co_await link->readFrames();
+    }
+
+    auto connect(const base::node_id &node, const membership::endpoint &address)
+            -> asio::awaitable<base::result<connection_pointer>>
+    {
+        const auto remote = parseEndpoint(address);
+        if (!remote) {
+            co_return tl::unexpected(remote.error());
+        }
+        boost::system::error_code error;
+        asio::ip::tcp::socket socket(m_context);
+        socket.open(remote->protocol(), error);
+        if (!error && !m_identity.localAddress.empty()) {
+            const auto local = asio::ip::make_address(m_identity.localAddress, error);
+            if (!error) {
+                socket.bind({local, 0}, error);
+            }
+        }
+        if (error) {
+            co_return base::fail(base::error_kind::PeerUnreachable, error.message());
+        }
+        const auto link = add(std::move(socket), false);
+        if (const auto connected = co_await link->connect(*remote); !connected) {
+            co_return tl::unexpected(connected.error());
+        }
+        if (const auto proved = co_await link->handshakeAsConnecting(); !proved) {
+            co_return tl::unexpected(proved.error());
+        }
+        if (link->peerNode() != node) {
+            link->close("peer is another node");
+            co_return base::fail(base::error_kind::PeerUnreachable,
+                                 "peer at that address is node " + link->peerNode().str());
+        }
+        co_return link;
+    }
+
+    static auto sendWhenOpen(std::shared_ptr<link_pool_state> self, base::node_id node,
+                             membership::endpoint address, base::channel kind, std::string payload)
+            -> asio::awaitable<void>
+    {
+        const auto link = co_await self->usableLink(node, address, 0);
+        auto &waiting = self->m_waitingMessages[node];
+        if (--waiting == 0) {
+            self->m_waitingMessages.erase(node);
+        }
+        if (link) {
+            (*link)->sendMessage(kind, payload);
+        }
+    }
+
+    static auto runAccepted(connection_pointer link) -> asio::awaitable<void>
+    {
+        const auto proved = co_await link->handshakeAsAccepting();
+        if (!proved) {
+            base::log(base::log_level::Debug, "incoming link was refused",
+                      {{"reason", proved.error().detail}});
+            co_return;
+        }
+        co_await link->readFrames();
+    }
+
+    auto add(asio::ip::tcp::socket socket, bool isAccepted) -> connection_pointer
+    {
+        const std::weak_ptr<link_pool_state> weak = weak_from_this();
+        const auto onClosed = [weak](const connection_pointer &link) {
+            if (const auto pool = weak.lock()) {
+                pool->remove(link);
+            }
+        };
+        const auto isDraining = [weak] {
+            const auto pool = weak.lock();
+            return !pool || pool->m_isDraining;
+        };
+        auto link = std::make_shared<connection>(
+                std::move(socket), m_identity, isAccepted,
+                connection_events{m_onStream, m_onMessage, onClosed, isDraining});
+        m_links.insert(link);
+        startMaintenance();
+        return link;
+    }
+
+    auto remove(const connection_pointer &link) -> void
+    {
+        m_links.erase(link);
+        const auto position = m_outgoing.find(link->peerNode());
+        if (position != m_outgoing.end() && position->second == link) {
+            m_outgoing.erase(position);
+        }
+    }
+
+    auto startMaintenance() -> void
+    {
+        if (m_isMaintaining || m_isClosed) {
+            return;
+        }
+        m_isMaintaining = true;
+        m_lastMaintenance = base::clock::now();
+        m_maintenance.expires_after(PING_INTERVAL);
+        m_maintenance.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const auto pool = weak.lock();
+            if (pool && !error) {
+                pool->maintain();
+            }
+        });
+    }
+
+    auto maintain() -> void
+    {
+        const auto now = base::clock::now();
+        const bool wasDelayed = now - m_lastMaintenance > DELAY_LIMIT;
+        for (const auto &link : std::set(m_links)) {
+            link->maintain(now, wasDelayed);
+        }
+        m_isMaintaining = false;
+        if (!m_links.empty()) {
+            startMaintenance();
+        }
+    }
+
+    asio::io_context &m_context;
+    link_identity m_identity;
+    stream_handler m_onStream;
+    message_handler m_onMessage;
+    asio::steady_timer m_maintenance;
+    base::time_point m_lastMaintenance;
+    bool m_isMaintaining = false;
+    bool m_isDraining = false;
+    bool m_isClosed = false;
+    std::set<connection_pointer> m_links;
+    std::map<base::node_id, connection_pointer> m_outgoing;
+    std::map<link_key, std::shared_ptr<link_attempt>> m_attempts;
+    std::map<base::node_id, std::size_t> m_waitingMessages;
+};
+
+stream::stream(std::shared_ptr<stream_state> state) : m_state(std::move(state)) {}
+
+stream::~stream()
+{
+    reset(base::error_kind::CallerGone);
+}
+
+auto stream::peer() const -> const base::node_id &
+{
+    return m_state->link->peerNode();
+}
+
+auto stream::sendHead(std::string bytes) -> asio::awaitable<base::result<void>>
+{
+    co_return m_state->link->sendHead(m_state, std::move(bytes));
+}
+
+auto stream::sendData(std::string bytes) -> asio::awaitable<base::result<void>>
+{
+    return m_state->link->sendData(m_state, std::move(bytes));
+}
+
+auto stream::sendEnd(std::string bytes) -> asio::awaitable<base::result<void>>
+{
+    co_return m_state->link->sendEnd(m_state, std::move(bytes));
+}
+
+auto stream::receive() -> asio::awaitable<base::result<stream_event>>
+{
+    return m_state->link->receive(m_state);
+}
+
+auto stream::reset(base::error_kind reason) -> void
+{
+    m_state->link->reset(m_state, reason);
+}
+
+link_pool::link_pool(asio::io_context &context, link_identity identity, stream_handler onStream,
+                     message_handler onMessage)
+    : m_state(std::make_shared<link_pool_state>(context, std::move(identity), std::move(onStream),
+                                                std::move(onMessage)))
+{}
+
+link_pool::~link_pool()
+{
+    m_state->close();
+}
+
+auto link_pool::open(const base::node_id &node, const membership::endpoint &address,
+                     base::incarnation expected) -> asio::awaitable<base::result<stream_pointer>>
+{
+    return m_state->open(node, address, expected);
+}
+
+auto link_pool::sendMessage(const base::node_id &node, const membership::endpoint &address,
+                            base::channel kind, std::string payload) -> void
+{
+    m_state->sendMessage(node, address, kind, std::move(payload));
+}
+
+auto link_pool::serve(asio::ip::tcp::socket socket) -> void
+{
+    m_state->serve(std::move(socket));
+}
+
+auto link_pool::linkCount() const -> std::size_t
+{
+    return m_state->linkCount();
+}
+
+auto link_pool::drain() -> void
+{
+    m_state->drain();
+}
+
+auto link_pool::close() -> void
+{
+    m_state->close();
+}
+
+} // namespace hawthornpick::peer
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -53,7 +53,8 @@
     [[nodiscard]] auto peer() const -> const base::node_id &;
 
     //! Sends the head, at most 64 KB. Call once, first.
-    //! Errors: `OutcomeUnknown` if the link is lost, or the reason of a reset by the peer.
+    //! Errors: `PeerUnreachable` if the link was lost before this call, so nothing was sent;
+    //! `OutcomeUnknown` if it is lost later; the reason of a reset by the peer.
     auto sendHead(std::string bytes) -> boost::asio::awaitable<base::result<void>>;
 
     //! Sends part of the body; waits while the peer's window is used up. Errors as `sendHead`.
@@ -103,7 +104,8 @@
     link_pool(const link_pool &) = delete;
     auto operator=(const link_pool &) -> link_pool & = delete;
 
-    //! Opens a stream to `node` at `address`, over an existing link if there is one. A link whose
+    //! Opens a stream to `node` at `address`, over an existing link if this pool opened one (an
+    //! accepted link carries only the peer's streams). A link whose
     //! peer proves another node id or, if `expected` is not 0, another incarnation is not used.
     //! Errors: `PeerUnreachable`, `IncarnationChanged`; nothing was sent on the stream.
     auto open(const base::node_id &node, const membership::endpoint &address,
@@ -119,7 +121,8 @@
     //! Number of open links.
     [[nodiscard]] auto linkCount() const -> std::size_t;
 
-    //! Refuses new streams with `ShuttingDown`; streams under way go on.
+    //! Refuses new incoming streams with `ShuttingDown`; streams under way go on and `open` still
+    //! works, because requests that finish may need it.
     auto drain() -> void;
 
     //! Closes all links; their streams fail.
--- /dev/null
+++ b/src/peer/tests/linkfixture.h
@@ -0,0 +1,146 @@
+#pragma once
+
+#include "peer/link.h"
+
+#include <CppUTest/TestHarness.h>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hawthornpick::peer::test {
+
+//! Longest wait for a condition; far above any expected time, because test machines are shared.
+inline constexpr std::chrono::seconds WAIT_LIMIT{20};
+
+//! One node that accepts links on a loopback port and records what arrives.
+class test_peer
+{
+public:
+    test_peer(boost::asio::io_context &context, std::string name, base::incarnation number,
+              std::string secret = "fleet secret")
+        : m_acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}),
+          m_pool(
+                  context, {base::node_id(std::move(name)), number, std::move(secret), ""},
+                  [this](stream_pointer incoming) { handleStream(std::move(incoming)); },
+                  [this](const base::node_id &from, base::channel kind, std::string payload) {
+                      messages.push_back({from, kind, std::move(payload)});
+                  })
+    {
+        acceptNext();
+    }
+
+    //! Handles incoming streams; without it they are kept in `incoming`.
+    stream_handler onStream;
+    std::vector<stream_pointer> incoming;
+    std::vector<base::outgoing_message> messages;
+
+    auto pool() -> link_pool & { return m_pool; }
+    [[nodiscard]] auto address() const -> membership::endpoint
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+    auto stopAccepting() -> void { m_acceptor.close(); }
+
+private:
+    auto handleStream(stream_pointer opened) -> void
+    {
+        if (onStream) {
+            onStream(std::move(opened));
+        } else {
+            incoming.push_back(std::move(opened));
+        }
+    }
+
+    auto acceptNext() -> void
+    {
+        m_acceptor.async_accept([this](const boost::system::error_code &error,
+                                       boost::asio::ip::tcp::socket socket) {
+            if (!error) {
+                m_pool.serve(std::move(socket));
+                acceptNext();
+            }
+        });
+    }
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    link_pool m_pool;
+};
+
+//! Runs the context until `condition` holds; false if that takes longer than `WAIT_LIMIT`.
+inline auto runUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
+        -> bool
+{
+    const auto end = std::chrono::steady_clock::now() + WAIT_LIMIT;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > end) {
+            return false;
+        }
+        context.restart();
+        context.run_one_for(std::chrono::milliseconds(50));
+    }
+    return true;
+}
+
+//! Runs the context until the coroutine returns and returns its value.
+template <typename T>
+auto await(boost::asio::io_context &context, boost::asio::awaitable<T> task) -> T
+{
+    std::optional<T> value;
+    boost::asio::co_spawn(
+            context, std::move(task),
+            [&value](const std::exception_ptr &, T returned) { value = std::move(returned); });
+    CHECK_TEXT(runUntil(context, [&value] { return value.has_value(); }), "coroutine did not end");
+    return std::move(*value);
+}
+
+//! Answers each stream with its own head, body and end.
+inline auto echo(stream_pointer incoming) -> boost::asio::awaitable<void>
+{
+    while (true) {
+        auto event = co_await incoming->receive();
+        if (!event) {
+            co_return;
+        }
+        base::result<void> sent;
+        if (auto *head = std::get_if<stream_head>(&*event)) {
+            sent = co_await incoming->sendHead(std::move(head->bytes));
+        } else if (auto *data = std::get_if<stream_data>(&*event)) {
+            sent = co_await incoming->sendData(std::move(data->bytes));
+        } else {
+            co_await incoming->sendEnd(std::move(std::get<stream_end>(*event).bytes));
+            co_return;
+        }
+        if (!sent) {
+            co_return;
+        }
+    }
+}
+
+//! Reads the rest of a stream; the concatenated body, or nothing if the stream failed.
+inline auto readBody(stream &source) -> boost::asio::awaitable<base::result<std::string>>
+{
+    std::string body;
+    while (true) {
+        auto event = co_await source.receive();
+        if (!event) {
+            co_return tl::unexpected(event.error());
+        }
+        if (const auto *data = std::get_if<stream_data>(&*event)) {
+            body += data->bytes;
+        } else if (std::holds_alternative<stream_end>(*event)) {
+            co_return body;
+        }
+    }
+}
+
+} // namespace hawthornpick::peer::test
