--- /dev/null
+++ b/src/app/exitcode.h
@@ -0,0 +1,16 @@
+#pragma once
+
+namespace hawthornpick::app {
+
+//! Exit codes of the program, listed in docs/OPERATIONS.md.
+enum class exit_code : int {
+    Success = 0,
+    Failure = 1,
+    Usage = 2,
+    InvalidInput = 3,
+    Rejected = 4,
+    Undecided = 5,
+    Unreachable = 6,
+};
+
+} // namespace hawthornpick::app
--- /dev/null
+++ b/src/app/internal/commands.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "app/exitcode.h"
+#include "config/settings.h"
+
+#include <optional>
+#include <string>
+
+namespace hawthornpick::app {
+
+//! Values of the flags that the subcommands share.
+struct command_options
+{
+    std::string settingsFile;
+    std::string folder;
+    std::string operatorAddress;
+    std::string operatorKeyFile;
+    std::string changeId;
+    std::optional<std::uint64_t> baseVersion;
+    std::string name;
+    std::string organisation;
+    std::string removed;
+    std::string added;
+    std::uint64_t timeoutMs = 30000;
+
+    auto operator<=>(const command_options &) const = default;
+};
+
+//! Subcommands. Thread safety of all: main thread.
+auto runServe(const command_options &options) -> exit_code;
+auto runCheck(const command_options &options) -> exit_code;
+auto runApply(const command_options &options) -> exit_code;
+auto runChange(const command_options &options) -> exit_code;
+auto runStatus(const command_options &options) -> exit_code;
+auto runMembers(const command_options &options) -> exit_code;
+auto runUpstreams(const command_options &options) -> exit_code;
+auto runHistory(const command_options &options) -> exit_code;
+auto runReplaceController(const command_options &options) -> exit_code;
+auto runMakeKey(const command_options &options) -> exit_code;
+auto runErrors(const command_options &options) -> exit_code;
+auto runVersion(const command_options &options) -> exit_code;
+
+//! Reads a whole file; nothing if it can't be read.
+auto readFile(const std::string &path) -> std::optional<std::string>;
+
+//! Reads and parses a settings file and prints its errors.
+auto loadSettings(const std::string &path) -> std::optional<config::settings>;
+
+} // namespace hawthornpick::app
--- /dev/null
+++ b/src/app/internal/localcommands.cpp
@@ -0,0 +1,111 @@
+#include "app/internal/commands.h"
+
+#include "base/errorkind.h"
+#include "config/declaration.h"
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace hawthornpick::app {
+
+namespace {
+
+constexpr std::size_t KEY_BYTES = 32;
+
+auto printErrors(const std::vector<config::diagnostic> &errors) -> void
+{
+    for (const auto &item : errors) {
+        std::cerr << config::toString(item) << "\n";
+    }
+}
+
+auto checkFolder(const std::string &folder) -> exit_code
+{
+    const auto files = config::readDeclarationFolder(folder);
+    if (!files) {
+        printErrors(files.error());
+        return exit_code::InvalidInput;
+    }
+    const auto set = config::parseDeclaration(*files);
+    if (!set) {
+        printErrors(set.error());
+        return exit_code::InvalidInput;
+    }
+    std::cout << set->organisations.size() << " organisations, " << set->keys.size() << " keys, "
+              << set->services.size() << " services, " << set->routes.size() << " routes, digest "
+              << base::toHex(config::digestOf(*set)) << "\n";
+    return exit_code::Success;
+}
+
+} // namespace
+
+auto readFile(const std::string &path) -> std::optional<std::string>
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        return std::nullopt;
+    }
+    return std::string{std::istreambuf_iterator<char>(stream), {}};
+}
+
+auto loadSettings(const std::string &path) -> std::optional<config::settings>
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": file can't be read\n";
+        return std::nullopt;
+    }
+    auto parsed = config::parseSettings(path, *text);
+    if (!parsed) {
+        printErrors(parsed.error());
+        return std::nullopt;
+    }
+    return std::move(*parsed);
+}
+
+auto runCheck(const command_options &options) -> exit_code
+{
+    if (options.settingsFile.empty() && options.folder.empty()) {
+        std::cerr << "hawthornpick check: --settings or --folder is needed\n";
+        return exit_code::Usage;
+    }
+    if (!options.settingsFile.empty() && !loadSettings(options.settingsFile)) {
+        return exit_code::InvalidInput;
+    }
+    return options.folder.empty() ? exit_code::Success : checkFolder(options.folder);
+}
+
+auto runMakeKey(const command_options &options) -> exit_code
+{
+    if (options.name.empty() || options.organisation.empty()) {
+        std::cerr << "hawthornpick make-key: --name and --organisation are needed\n";
+        return exit_code::Usage;
+    }
+    const auto key = "hp_" + base::toHex(base::secureRandomBytes(KEY_BYTES));
+    std::cout << "; give this key to the organisation; it is not stored anywhere: " << key << "\n"
+              << "[key " << options.name << "]\n"
+              << "organisation = " << options.organisation << "\n"
+              << "sha256 = " << base::toHex(base::sha256(key)) << "\n";
+    return exit_code::Success;
+}
+
+auto runErrors(const command_options & /*options*/) -> exit_code
+{
+    std::cout << "| reason | status | outcome | may retry | meaning |\n"
+              << "| --- | --- | --- | --- | --- |\n";
+    for (const auto &row : base::errorTable()) {
+        std::cout << "| `" << row.reason << "` | " << row.httpStatus << " | "
+                  << base::outcomeName(row.result) << " | " << (row.mayRetry ? "yes" : "no")
+                  << " | " << row.description << " |\n";
+    }
+    return exit_code::Success;
+}
+
+auto runVersion(const command_options & /*options*/) -> exit_code
+{
+    std::cout << "hawthornpick " << HAWTHORNPICK_VERSION << "\n";
+    return exit_code::Success;
+}
+
+} // namespace hawthornpick::app
--- a/src/config/internal/sectionreader.cpp
+++ b/src/config/internal/sectionreader.cpp
@@ -1,7 +1,6 @@
 #include "config/internal/sectionreader.h"
 
 #include <algorithm>
-#include <boost/asio/ip/address.hpp>
 #include <charconv>
 #include <cmath>
 
@@ -49,25 +48,6 @@
     });
 }
 
-auto parseEndpoint(std::string_view text) -> std::optional<membership::endpoint>
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return std::nullopt;
-    }
-    auto host = text.substr(0, colon);
-    if (host.starts_with('[') && host.ends_with(']')) {
-        host = host.substr(1, host.size() - 2);
-    }
-    const auto port = parseNumber<std::uint16_t>(text.substr(colon + 1));
-    boost::system::error_code failure;
-    const auto address = boost::asio::ip::make_address(std::string(host), failure);
-    if (failure || !port) {
-        return std::nullopt;
-    }
-    return membership::endpoint{address.to_string(), *port};
-}
-
 section_reader::section_reader(const std::string &file, const ini_section &section,
                                std::vector<diagnostic> &errors)
     : m_file(file), m_section(section), m_errors(errors)
@@ -208,7 +188,7 @@
         }
         return {};
     }
-    const auto value = parseEndpoint(entry->value);
+    const auto value = membership::parseEndpoint(entry->value);
     if (!value) {
         reject(key, quoted(entry->value)
                             + " is not an IP address with a port, such as "
--- a/src/config/internal/sectionreader.h
+++ b/src/config/internal/sectionreader.h
@@ -20,10 +20,6 @@
 //! Returns true for 1 to 64 letters, digits, `-`, `_` and `.`. Thread safety: pure.
 auto isName(std::string_view text) -> bool;
 
-//! Parses `address:port` with an IPv4 address or an IPv6 address in brackets.
-//! Thread safety: pure.
-auto parseEndpoint(std::string_view text) -> std::optional<membership::endpoint>;
-
 //! Reads typed values of one section and collects an error for each value that is missing,
 //! malformed, out of range, repeated or unknown. Thread safety: one thread.
 class section_reader
--- a/src/membership/internal/view.cpp
+++ b/src/membership/internal/view.cpp
@@ -1,6 +1,8 @@
 #include "membership/view.h"
 
 #include <algorithm>
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
 
 namespace hawthornpick::membership {
 
@@ -13,6 +15,35 @@
 
 } // namespace
 
+auto parseEndpoint(std::string_view text) -> std::optional<endpoint>
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return std::nullopt;
+    }
+    auto host = text.substr(0, colon);
+    if (host.starts_with('[') && host.ends_with(']')) {
+        host = host.substr(1, host.size() - 2);
+    }
+    const auto portText = text.substr(colon + 1);
+    std::uint16_t port = 0;
+    const auto parsed = std::from_chars(portText.begin(), portText.end(), port);
+    const bool hasPort = parsed.ec == std::errc() && parsed.ptr == portText.end();
+    boost::system::error_code failure;
+    const auto address = boost::asio::ip::make_address(std::string(host), failure);
+    if (failure || !hasPort) {
+        return std::nullopt;
+    }
+    return endpoint{address.to_string(), port};
+}
+
+auto toString(const endpoint &address) -> std::string
+{
+    const bool isV6 = address.address.find(':') != std::string::npos;
+    const auto host = isV6 ? "[" + address.address + "]" : address.address;
+    return host + ":" + std::to_string(address.port);
+}
+
 view::view(std::uint64_t version, std::vector<node_entry> nodes)
     : m_version(version), m_nodes(std::move(nodes))
 {
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hawthornpick::membership {
@@ -36,6 +38,13 @@
     auto operator<=>(const endpoint &) const = default;
 };
 
+//! Parses `address:port` with an IPv4 address or an IPv6 address in brackets.
+//! Thread safety: pure.
+auto parseEndpoint(std::string_view text) -> std::optional<endpoint>;
+
+//! Reverses `parseEndpoint`. Thread safety: pure.
+auto toString(const endpoint &address) -> std::string;
+
 //! One upstream as published by the node beside it. Newer entries have the higher
 //! (incarnation, sequence).
 struct upstream_entry
