--- /dev/null
+++ b/src/atmostonce/internal/fence.cpp
@@ -0,0 +1,123 @@
+#include "atmostonce/fence.h"
+
+#include "atmostonce/generated/atmostoncewire_types.h"
+#include "base/thriftcodec.h"
+
+#include <optional>
+#include <utility>
+
+namespace hawthornpick::atmostonce {
+
+namespace {
+
+auto toWire(const base::attempt_id &id, base::incarnation expected) -> wire::fence_message
+{
+    wire::fence_message message;
+    message.attempt_high = static_cast<std::int64_t>(id.high);
+    message.attempt_low = static_cast<std::int64_t>(id.low);
+    message.incarnation = static_cast<std::int64_t>(expected);
+    return message;
+}
+
+auto idOf(const wire::fence_message &message) -> base::attempt_id
+{
+    return {static_cast<std::uint64_t>(message.attempt_high),
+            static_cast<std::uint64_t>(message.attempt_low)};
+}
+
+auto requestFor(const attempt_place &place) -> base::outgoing_message
+{
+    return {place.node, base::channel::Fence,
+            base::encodeThrift(toWire(place.attempt, place.incarnation))};
+}
+
+auto answerFromNumber(std::int8_t number) -> std::optional<fence_answer>
+{
+    if (number < 0 || number > static_cast<std::int8_t>(fence_answer::Unknown)) {
+        return std::nullopt;
+    }
+    return static_cast<fence_answer>(number);
+}
+
+} // namespace
+
+fence_client::fence_client(post_function post) : m_post(std::move(post)) {}
+
+auto fence_client::ask(attempt_place place, base::duration limit, callback done) -> void
+{
+    m_post([this, place = std::move(place), limit,
+            done = std::move(done)](base::time_point now) mutable {
+        return begin(place, limit, std::move(done), now);
+    });
+}
+
+auto fence_client::begin(const attempt_place &place, base::duration limit, callback done,
+                         base::time_point now) -> messages
+{
+    auto &entry = m_pending[place];
+    entry.done.push_back(std::move(done));
+    entry.end = std::max(entry.end, now + limit);
+    entry.lastSent = now;
+    return {requestFor(place)};
+}
+
+auto fence_client::receive(const base::node_id &from, std::string_view payload,
+                           base::time_point /*now*/) -> messages
+{
+    const auto message = base::decodeThrift<wire::fence_message>(payload);
+    if (!message || !message->__isset.answer) {
+        return {};
+    }
+    const auto answer = answerFromNumber(message->answer);
+    const attempt_place place{idOf(*message), from,
+                              static_cast<base::incarnation>(message->incarnation)};
+    const auto found = m_pending.find(place);
+    if (!answer || found == m_pending.end()) {
+        return {};
+    }
+    const auto callbacks = std::move(found->second.done);
+    m_pending.erase(found);
+    for (const auto &done : callbacks) {
+        done(*answer);
+    }
+    return {};
+}
+
+auto fence_client::tick(base::time_point now) -> messages
+{
+    messages out;
+    std::vector<callback> expired;
+    for (auto item = m_pending.begin(); item != m_pending.end();) {
+        auto &entry = item->second;
+        if (now >= entry.end) {
+            expired.insert(expired.end(), entry.done.begin(), entry.done.end());
+            item = m_pending.erase(item);
+            continue;
+        }
+        if (now - entry.lastSent >= RETRY_INTERVAL) {
+            entry.lastSent = now;
+            out.push_back(requestFor(item->first));
+        }
+        ++item;
+    }
+    for (const auto &done : expired) {
+        done(fence_answer::Unknown);
+    }
+    return out;
+}
+
+fence_server::fence_server(attempt_registry &registry) : m_registry(registry) {}
+
+auto fence_server::receive(const base::node_id &from, std::string_view payload) -> messages
+{
+    auto message = base::decodeThrift<wire::fence_message>(payload);
+    if (!message || message->__isset.answer) {
+        return {};
+    }
+    const auto answer =
+            m_registry.fence(idOf(*message), static_cast<base::incarnation>(message->incarnation));
+    message->__set_answer(static_cast<std::int8_t>(answer));
+    return {{from, base::channel::Fence, base::encodeThrift(*message)}};
+}
+
+} // namespace hawthornpick::atmostonce
