Add fair queue with slots per upstream

Requests of one service on one node had no bounded place to wait. The queue hands out slots, waits in weighted deficit round robin between organisations, and refuses at once with QueueFull or DeadlineBeforeStart. A full queue makes room for an organisation with fewer waiting requests.

Tests: 11, with 200 random runs of 400 steps and 20 floods of 2,000 steps.

--- /dev/null
+++ b/src/policy/tests/fairqueuetest.cpp
@@ -0,0 +1,386 @@
+#include "policy/fairqueue.h"
+
+#include "base/random.h"
+#include "src/policy/tests/seeds.h"
+
+#include <CppUTest/TestHarness.h>
+#include <atomic>
+#include <set>
+#include <string>
+#include <thread>
+
+using namespace hawthornpick;
+using namespace hawthornpick::policy;
+using namespace std::chrono_literals;
+
+namespace {
+
+const base::upstream_id UPSTREAM("node/a");
+
+auto requestOf(std::uint64_t number, const std::string &organisation, base::time_point deadline,
+               std::uint32_t weight = 1) -> slot_request
+{
+    return {{1, number}, base::organisation_id(organisation), weight, deadline, true};
+}
+
+} // namespace
+
+TEST_GROUP(fair_queue)
+{
+    fair_queue queue{2};
+    base::time_point now{1h};
+    std::vector<base::result<slot_grant>> resumed;
+    std::uint64_t nextAttempt = 0;
+
+    void setup() override
+    {
+        queue.setUpstream(UPSTREAM, {1, 1}, now);
+    }
+
+    auto enter(const std::string &organisation, base::duration remaining = 10s,
+               std::uint32_t weight = 1)
+            ->base::result<std::optional<slot_grant>>
+    {
+        return queue.enter(requestOf(++nextAttempt, organisation, now + remaining, weight), now,
+                           [this](base::result<slot_grant> value) { resumed.push_back(value); });
+    }
+
+    //! Runs one request so that the queue knows the mean service time.
+    auto learnServiceTime(base::duration service)->void
+    {
+        const auto grant = enter("teacher").value().value();
+        now += service;
+        queue.release(grant, true, now);
+    }
+};
+
+// Guards against an unbounded queue and against waiting where a refusal is certain.
+TEST(fair_queue, refusesAtOnceWhenFull)
+{
+    CHECK(enter("a").value().has_value());
+    CHECK(!enter("a").value().has_value());
+    CHECK(!enter("a").value().has_value());
+    CHECK(enter("a").error().kind == base::error_kind::QueueFull);
+    CHECK_EQUAL(2U, queue.load().waiting);
+}
+
+// Guards against work on requests whose callers have given up: at twice the capacity it would take
+// the place of requests that can still succeed.
+TEST(fair_queue, refusesWhatCannotMeetItsDeadline)
+{
+    learnServiceTime(100ms);
+    CHECK(enter("a", 0ms).error().kind == base::error_kind::DeadlineBeforeStart);
+    CHECK(enter("a").value().has_value());
+    CHECK(enter("a", 150ms).error().kind == base::error_kind::DeadlineBeforeStart);
+    CHECK(!enter("a", 300ms).value().has_value());
+    now += 250ms;
+    queue.expire(now);
+    CHECK_EQUAL(1U, resumed.size());
+    CHECK(resumed.front().error().kind == base::error_kind::DeadlineBeforeStart);
+}
+
+// Guards against one organisation at several times its rate getting the others refused.
+TEST(fair_queue, fullQueueMakesRoomForOrganisationWithFewerWaiting)
+{
+    CHECK(enter("large").value().has_value());
+    CHECK(!enter("large").value().has_value());
+    CHECK(!enter("large").value().has_value());
+    CHECK(!enter("small").value().has_value());
+    CHECK_EQUAL(1U, resumed.size());
+    CHECK(resumed.front().error().kind == base::error_kind::QueueFull);
+    CHECK(enter("large").error().kind == base::error_kind::QueueFull);
+}
+
+// Guards against weights that are ignored or that starve the lighter organisation.
+TEST(fair_queue, servesOrganisationsByWeight)
+{
+    fair_queue wide(100);
+    wide.setUpstream(UPSTREAM, {1, 1}, now);
+    std::map<std::string, int> started;
+    std::optional<slot_grant> running =
+            wide.enter(requestOf(1, "heavy", now + 1h), now, {}).value().value();
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        for (const auto &[name, weight] : {std::pair("heavy", 3U), std::pair("light", 1U)}) {
+            const auto resume = [&started, &running, text = std::string(name)](auto value) {
+                ++started[text];
+                running = value.value();
+            };
+            (void)wide.enter(requestOf(100 + i * 2 + weight, name, now + 1h, weight), now, resume);
+        }
+    }
+    for (int i = 0; i < 40; ++i) {
+        wide.release(*running, true, now);
+    }
+    CHECK_EQUAL(30, started["heavy"]);
+    CHECK_EQUAL(10, started["light"]);
+}
+
+// Guards against a disconnected caller's request that later takes a slot.
+TEST(fair_queue, cancelledRequestNeverStarts)
+{
+    const auto first = enter("a").value().value();
+    CHECK(!enter("a").value().has_value());
+    CHECK(queue.cancel({1, nextAttempt}));
+    CHECK(!queue.cancel({1, nextAttempt}));
+    queue.release(first, true, now);
+    CHECK(resumed.empty());
+    CHECK(queue.idle());
+}
+
+// Guards against a graceful shutdown that cuts requests or takes new ones.
+TEST(fair_queue, drainFinishesWaitingRequests)
+{
+    const auto first = enter("a").value().value();
+    CHECK(!enter("b").value().has_value());
+    queue.drain();
+    CHECK(enter("c").error().kind == base::error_kind::UpstreamDraining);
+    queue.release(first, true, now);
+    CHECK(resumed.front().has_value());
+    queue.release(resumed.front().value(), true, now);
+    CHECK(queue.idle());
+}
+
+// Guards against requests that wait for an upstream which takes no more work.
+TEST(fair_queue, refusesWaitingRequestsWhenLastUpstreamLeaves)
+{
+    const auto first = enter("a").value().value();
+    CHECK(!enter("a").value().has_value());
+    queue.setUpstream(UPSTREAM, {1, 0}, now);
+    CHECK(resumed.at(0).error().kind == base::error_kind::UpstreamEjected);
+    CHECK(enter("a").error().kind == base::error_kind::UpstreamEjected);
+    queue.setUpstream(UPSTREAM, {1, 1, false, true}, now);
+    CHECK(enter("a").error().kind == base::error_kind::UpstreamDraining);
+    queue.removeUpstream(UPSTREAM, now);
+    CHECK(enter("a").error().kind == base::error_kind::NoUpstream);
+    queue.release(first, true, now);
+    CHECK(queue.idle());
+}
+
+// Guards against non-idempotent work on an upstream that may still be bad, and against more than a
+// small share of idempotent work.
+TEST(fair_queue, probationTakesFewIdempotentRequests)
+{
+    queue.setUpstream(UPSTREAM, {1, 1, true}, now);
+    auto request = requestOf(50, "a", now + 1s);
+    request.idempotent = false;
+    CHECK(queue.enter(request, now, {}).error().kind == base::error_kind::UpstreamEjected);
+    const auto probe = enter("a").value().value();
+    CHECK(enter("a").error().kind == base::error_kind::QueueFull);
+    queue.release(probe, true, now);
+    CHECK(enter("a").error().kind == base::error_kind::QueueFull);
+    now += PROBE_INTERVAL;
+    CHECK(enter("a").value().has_value());
+}
+
+namespace {
+
+//! Random operations on one queue; checks bounds and that each request ends exactly once.
+class queue_exercise
+{
+public:
+    explicit queue_exercise(std::uint64_t seed) : m_seed(seed), m_random(seed)
+    {
+        m_queue.setUpstream(base::upstream_id("a"), {3, 3}, m_now);
+        m_queue.setUpstream(base::upstream_id("b"), {2, 2}, m_now);
+    }
+
+    auto run(int steps) -> void
+    {
+        for (int i = 0; i < steps; ++i) {
+            m_now += std::chrono::microseconds(m_random.below(20000));
+            step(m_random.below(10));
+            check();
+        }
+        finish();
+    }
+
+private:
+    auto step(std::uint64_t choice) -> void
+    {
+        if (choice < 5) {
+            enterOne();
+        } else if (choice < 8) {
+            releaseOne();
+        } else if (choice == 8) {
+            m_queue.expire(m_now);
+            cancelOne();
+        } else {
+            changeUpstream();
+        }
+    }
+
+    auto enterOne() -> void
+    {
+        const auto number = ++m_entered;
+        auto request = requestOf(number, "o" + std::to_string(m_random.below(4)),
+                                 m_now + std::chrono::milliseconds(m_random.below(400)),
+                                 static_cast<std::uint32_t>(m_random.below(4)));
+        request.idempotent = m_random.chance(0.7);
+        m_open.insert(number);
+        const auto answer = m_queue.enter(request, m_now, [this, number](auto value) {
+            CHECK_TEXT(m_open.contains(number), seedText("resumed twice").asCharString());
+            end(number, value);
+        });
+        if (!answer) {
+            m_open.erase(number);
+        } else if (*answer) {
+            end(number, **answer);
+        }
+    }
+
+    auto end(std::uint64_t number, const base::result<slot_grant> &value) -> void
+    {
+        m_open.erase(number);
+        if (value) {
+            m_running.push_back(*value);
+        }
+    }
+
+    auto releaseOne() -> void
+    {
+        if (m_running.empty()) {
+            return;
+        }
+        const auto index = m_random.below(m_running.size());
+        const auto grant = m_running.at(index);
+        m_running.erase(m_running.begin() + static_cast<std::ptrdiff_t>(index));
+        m_queue.release(grant, m_random.chance(0.9), m_now);
+    }
+
+    auto cancelOne() -> void
+    {
+        const auto number = 1 + m_random.below(m_entered + 1);
+        CHECK_TEXT(m_queue.cancel({1, number}) == m_open.contains(number),
+                   seedText("cancel answers wrongly").asCharString());
+        m_open.erase(number);
+    }
+
+    auto changeUpstream() -> void
+    {
+        const base::upstream_id id(m_random.chance(0.5) ? "a" : "b");
+        if (m_random.chance(0.2)) {
+            m_queue.removeUpstream(id, m_now);
+            return;
+        }
+        const auto usable = static_cast<std::uint32_t>(m_random.below(4));
+        m_queue.setUpstream(id, {3, usable, m_random.chance(0.2), m_random.chance(0.1)}, m_now);
+    }
+
+    auto check() -> void
+    {
+        const auto load = m_queue.load();
+        CHECK_TEXT(load.waiting == m_open.size(), seedText("waiting count").asCharString());
+        CHECK_TEXT(load.waiting <= 6U * 4U, seedText("queue bound").asCharString());
+        std::map<base::upstream_id, int> busy;
+        for (const auto &grant : m_running) {
+            CHECK_TEXT(++busy[grant.upstream] <= 3, seedText("slot bound").asCharString());
+        }
+    }
+
+    auto finish() -> void
+    {
+        m_queue.setUpstream(base::upstream_id("a"), {3, 3}, m_now);
+        while (!m_running.empty()) {
+            releaseOne();
+        }
+        m_now += 1s;
+        m_queue.expire(m_now);
+        CHECK_TEXT(m_open.empty() && m_queue.idle(), seedText("request lost").asCharString());
+    }
+
+    auto seedText(const char *what) const -> SimpleString
+    {
+        return testsupport::seedText(m_seed, what);
+    }
+
+    std::uint64_t m_seed;
+    base::random_source m_random;
+    fair_queue m_queue{4};
+    base::time_point m_now{1h};
+    std::uint64_t m_entered = 0;
+    std::set<std::uint64_t> m_open;
+    std::vector<slot_grant> m_running;
+};
+
+//! Two organisations always have requests waiting; the difference of their service stays bounded.
+auto exerciseFairness(std::uint64_t seed) -> void
+{
+    base::random_source random(seed);
+    fair_queue queue(8);
+    base::time_point now{1h};
+    queue.setUpstream(UPSTREAM, {4, 4}, now);
+    std::vector<slot_grant> running;
+    std::map<std::string, int> started;
+    std::uint64_t number = 0;
+    for (int step = 0; step < 2000; ++step) {
+        for (const auto &[name, copies] : {std::pair("flood", 5), std::pair("small", 1)}) {
+            for (int i = 0; i < copies; ++i) {
+                const std::string text(name);
+                const auto start = [&, text](const base::result<slot_grant> &value) {
+                    if (value) {
+                        ++started[text];
+                        running.push_back(*value);
+                    }
+                };
+                const auto answer = queue.enter(requestOf(++number, text, now + 1h), now, start);
+                if (answer && *answer) {
+                    start(**answer);
+                }
+            }
+        }
+        const auto index = random.below(running.size());
+        const auto grant = running.at(index);
+        running.erase(running.begin() + static_cast<std::ptrdiff_t>(index));
+        queue.release(grant, true, now);
+    }
+    const int difference = std::abs(started["flood"] - started["small"]);
+    CHECK_TEXT(difference <= 6, testsupport::seedText(seed, "unfair service").asCharString());
+}
+
+} // namespace
+
+// Guards against lost or doubled resumption and against exceeded bounds.
+TEST(fair_queue, randomOperationsKeepInvariants)
+{
+    testsupport::forEachSeed(200, [](std::uint64_t seed) { queue_exercise(seed).run(400); });
+}
+
+// Guards against a flood of one organisation taking more than its share of the slots.
+TEST(fair_queue, floodTakesNoMoreThanItsShare)
+{
+    testsupport::forEachSeed(20, exerciseFairness);
+}
+
+// Guards against lost requests when I/O threads enter, release and cancel at once.
+TEST(fair_queue, severalThreadsLoseNoRequest)
+{
+    fair_queue shared(50);
+    shared.setUpstream(UPSTREAM, {4, 4}, now);
+    std::atomic<int> ended{0};
+    std::function<void(const slot_grant &)> finish = [&](const slot_grant &grant) {
+        ++ended;
+        shared.release(grant, true, now);
+    };
+    const auto work = [&](std::uint64_t thread) {
+        for (std::uint64_t i = 0; i < 2000; ++i) {
+            const auto request = requestOf(thread * 10000 + i, std::to_string(thread), now + 1h);
+            const auto answer = shared.enter(request, now, [&](const auto &value) {
+                value ? finish(*value) : static_cast<void>(++ended);
+            });
+            if (!answer || (!*answer && i % 3 == 0 && shared.cancel(request.attempt))) {
+                ++ended;
+            } else if (*answer) {
+                finish(**answer);
+            }
+        }
+    };
+    std::vector<std::thread> threads;
+    for (std::uint64_t thread = 0; thread < 4; ++thread) {
+        threads.emplace_back(work, thread);
+    }
+    for (auto &thread : threads) {
+        thread.join();
+    }
+    CHECK_EQUAL(8000, ended.load());
+    CHECK(shared.idle());
+}
