--- a/src/app/internal/commandline.cpp
+++ b/src/app/internal/commandline.cpp
@@ -59,7 +59,9 @@
              runHistory},
             {"replace-controller", "replace one controller by another node",
              withOperator({"removed", "added"}), runReplaceController},
-            {"make-key", "make a key and the section that declares it", {"name", "organisation"},
+            {"make-key",
+             "make a key and the section that declares it",
+             {"name", "organisation"},
              runMakeKey},
             {"errors", "print the table of error kinds", {}, runErrors},
             {"version", "print the version", {}, runVersion},
@@ -80,9 +82,9 @@
 auto usageOf(const subcommand &item) -> std::string
 {
     std::string text = "usage: hawthornpick " + std::string(item.name) + " [--FLAG=VALUE ...]\n  "
-            + std::string(item.summary) + "\n\nflags:\n";
+                       + std::string(item.summary) + "\n\nflags:\n";
     for (const auto &name : item.flags) {
-        const auto *flag = absl::FindCommandLineFlag(name);
+        const auto *flag = absl::FindCommandLineFlag({name.data(), name.size()});
         text += "  --" + std::string(name) + "  " + flag->Help() + " (default: \""
                 + flag->DefaultValue() + "\")\n";
     }
@@ -149,8 +151,8 @@
             return exit_code::Success;
         }
         const auto flag = flagName(argument);
-        const bool known = std::find(item->flags.begin(), item->flags.end(), flag)
-                != item->flags.end();
+        const bool known =
+                std::find(item->flags.begin(), item->flags.end(), flag) != item->flags.end();
         if (argument.starts_with('-') && !known) {
             return fail("`" + std::string(argument) + "` is not a flag of " + std::string(name));
         }
--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -17,10 +17,9 @@
 class operator_connection
 {
 public:
-    operator_connection(membership::endpoint address, std::string key, base::milliseconds timeout) :
-        m_address(std::move(address)), m_key(std::move(key)), m_timeout(timeout)
-    {
-    }
+    operator_connection(membership::endpoint address, std::string key, base::milliseconds timeout)
+        : m_address(std::move(address)), m_key(std::move(key)), m_timeout(timeout)
+    {}
 
     auto send(const std::string &method, const std::string &path, const std::string &body) const
             -> tl::expected<webapi::response, std::string>
@@ -54,8 +53,7 @@
                   << "` can't be read\n";
         return std::nullopt;
     }
-    return operator_connection(*address, trimmed(*key),
-                               base::milliseconds(options.timeoutMs));
+    return operator_connection(*address, trimmed(*key), base::milliseconds(options.timeoutMs));
 }
 
 auto printAnswer(const tl::expected<webapi::response, std::string> &answer) -> exit_code
@@ -98,7 +96,8 @@
 {
     // After a lost answer the change may still come into force.
     if (!response) {
-        std::cerr << "not known to be in force (" << response.error() << "); ask with: hawthornpick "
+        std::cerr << "not known to be in force (" << response.error()
+                  << "); ask with: hawthornpick "
                   << "change --change_id=" << changeId << "\n";
         return exit_code::Undecided;
     }
--- a/src/config/internal/settings.cpp
+++ b/src/config/internal/settings.cpp
@@ -17,8 +17,9 @@
 {
     const auto at = entry.value.find('@');
     const auto id = entry.value.substr(0, at);
-    const auto address =
-            at == std::string::npos ? std::nullopt : membership::parseEndpoint(entry.value.substr(at + 1));
+    const auto address = at == std::string::npos
+                                 ? std::nullopt
+                                 : membership::parseEndpoint(entry.value.substr(at + 1));
     if (!isName(id) || !address) {
         reader.reject(entry.key, "`" + entry.value + "` is not of the form NODE@ADDRESS:PORT");
         return {};
