--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -2,6 +2,7 @@
 
 #include "base/ids.h"
 #include "base/log.h"
+#include "base/time.h"
 #include "config/diagnostic.h"
 #include "membership/view.h"
 
