--- a/src/policy/arbiter.h
+++ b/src/policy/arbiter.h
@@ -67,6 +67,10 @@
 
     arbiter(holds_lease_function holdsLease, view_function view, service_function service);
 
+    //! Sets the scopes whose lease this node tries to hold, so that the learning time begins with
+    //! the lease and not with the first request.
+    auto setScopes(const std::vector<arbiter_scope> &scopes) -> void;
+
     //! Channel Arbiter: requests and releases. Ignores damaged and other messages.
     auto receive(const base::node_id &from, std::string_view payload, base::time_point now)
             -> std::vector<base::outgoing_message>;
@@ -90,7 +94,8 @@
     {
         std::map<base::upstream_id, permit> permits;
         base::time_point grantsFrom;
-        bool holding = false;
+        //! When the lease was last seen to be held.
+        std::optional<base::time_point> held;
         std::map<base::upstream_id, base::time_point> returned;
     };
     struct capacity
@@ -108,10 +113,10 @@
     auto observe(base::time_point now) -> membership::view_pointer;
     auto capacityOf(const arbiter_scope &scope, const scope_state &state,
                     const membership::view &view, const arbiter_service &service,
-                    base::time_point now) const -> capacity;
+                    bool recalledAreBack, base::time_point now) const -> capacity;
     [[nodiscard]] auto slotsOf(const membership::upstream_entry &upstream, const scope_state &state,
-                               const arbiter_service &service, base::time_point now) const
-            -> double;
+                               const arbiter_service &service, bool recalledAreBack,
+                               base::time_point now) const -> double;
     auto mayGrant(const arbiter_scope &scope, scope_state &state, const base::upstream_id &upstream,
                   bool held, base::time_point now) -> bool;
     auto recallLeastUnhealthy(const arbiter_scope &scope, scope_state &state, base::time_point now,
--- a/src/policy/ejectionclient.h
+++ b/src/policy/ejectionclient.h
@@ -58,7 +58,9 @@
     using candidates_function =
             std::function<std::vector<base::node_id>(const arbiter_scope &scope)>;
 
-    ejection_client(base::region_id region, ejection_times times, candidates_function candidates);
+    //! `incarnation` of this node orders its messages before and after a restart; below 2^43.
+    ejection_client(base::region_id region, base::incarnation incarnation, ejection_times times,
+                    candidates_function candidates);
 
     //! The upstream is announced with `slots`. History is kept.
     auto setUpstream(const base::upstream_id &upstream, const base::service_id &service,
@@ -107,6 +109,7 @@
         base::time_point permitEnds{};
         std::int64_t number = 0;
         std::optional<base::time_point> asked;
+        base::time_point pausedUntil{};
         std::size_t candidate = 0;
         bool release = false;
     };
@@ -125,7 +128,7 @@
     ejection_times m_times;
     candidates_function m_candidates;
     std::map<base::upstream_id, ejection> m_ejections;
-    std::int64_t m_nextNumber = 0;
+    std::int64_t m_nextNumber;
 };
 
 } // namespace hawthornpick::policy
