--- a/src/peer/internal/link.cpp
+++ b/src/peer/internal/link.cpp
@@ -65,6 +65,7 @@
     auto open(base::node_id node, membership::endpoint address, base::incarnation expected)
             -> asio::awaitable<base::result<stream_pointer>>
     {
+        const auto self = shared_from_this();
         auto link = co_await usableLink(node, address, expected);
         if (!link) {
             co_return tl::unexpected(link.error());
--- /dev/null
+++ b/src/peer/tests/runtimetest.cpp
@@ -0,0 +1,168 @@
+#include "peer/runtime.h"
+
+#include "base/random.h"
+#include "peer/internal/datagram.h"
+#include "peer/tests/linkfixture.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <thread>
+
+using namespace hawthornpick;
+using namespace hawthornpick::peer;
+using namespace hawthornpick::peer::test;
+namespace asio = boost::asio;
+
+namespace {
+
+auto freePort(asio::io_context &context) -> std::uint16_t
+{
+    const asio::ip::udp::socket probe(context, {asio::ip::address_v4::loopback(), 0});
+    return probe.local_endpoint().port();
+}
+
+//! Two runtimes and a link pool that accepts the receiver's TCP messages.
+class runtime_pair
+{
+public:
+    explicit runtime_pair(asio::io_context &context, base::incarnation number = 1)
+        : m_acceptor(context, "receiver", 1), m_receiverPort(m_acceptor.address().port),
+          m_sender(makeSender(context, number)),
+          m_receiver(std::make_unique<control_runtime>(
+                  context, link_identity{base::node_id("receiver"), 1, "fleet secret", ""},
+                  m_acceptor.address(), [](const base::node_id &) { return std::nullopt; },
+                  m_metrics))
+    {}
+
+    auto makeSender(asio::io_context &context, base::incarnation number)
+            -> std::unique_ptr<control_runtime>
+    {
+        return std::make_unique<control_runtime>(
+                context, link_identity{base::node_id("sender"), number, "fleet secret", ""},
+                membership::endpoint{"127.0.0.1", freePort(context)},
+                [this](const base::node_id &node) -> std::optional<membership::endpoint> {
+                    if (node.str() != "receiver") {
+                        return std::nullopt;
+                    }
+                    return membership::endpoint{"127.0.0.1", m_receiverPort};
+                },
+                m_metrics);
+    }
+
+    auto sender() -> control_runtime & { return *m_sender; }
+    auto receiver() -> control_runtime & { return *m_receiver; }
+    auto acceptor() -> test_peer & { return m_acceptor; }
+    auto metrics() -> base::metrics & { return m_metrics; }
+
+private:
+    base::metrics m_metrics;
+    test_peer m_acceptor;
+    std::uint16_t m_receiverPort;
+    std::unique_ptr<control_runtime> m_sender;
+    std::unique_ptr<control_runtime> m_receiver;
+};
+
+auto toReceiver(std::string payload) -> base::outgoing_message
+{
+    return {base::node_id("receiver"), base::channel::Lease, std::move(payload)};
+}
+
+} // namespace
+
+TEST_GROUP(runtime_test){};
+
+// Guards against a datagram accepted from another fleet, for another node or after damage.
+TEST(runtime_test, damagedOrForeignDatagramsAreRefused)
+{
+    const base::node_id self("self");
+    const auto bytes = encodeDatagram("secret", self,
+                                      {base::node_id("peer"), 9, base::channel::Rate, "content"});
+    const auto decoded = decodeDatagram("secret", self, bytes);
+    CHECK_TRUE(decoded.has_value());
+    STRCMP_EQUAL("peer", decoded->from.str().c_str());
+    CHECK_EQUAL(9U, decoded->incarnation);
+    CHECK_TRUE(decoded->kind == base::channel::Rate);
+    CHECK_TRUE(decoded->payload == "content");
+    CHECK_FALSE(decodeDatagram("other secret", self, bytes).has_value());
+    CHECK_FALSE(decodeDatagram("secret", base::node_id("other"), bytes).has_value());
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        auto damaged = bytes;
+        damaged[i] = static_cast<char>(damaged[i] ^ 1);
+        CHECK_FALSE(decodeDatagram("secret", self, damaged).has_value());
+        CHECK_FALSE(decodeDatagram("secret", self, bytes.substr(0, i)).has_value());
+    }
+}
+
+// Guards against messages that get lost or cut at the border between datagram and link.
+TEST(runtime_test, smallMessagesGoAsDatagramsAndLargeOnesOverTheLink)
+{
+    asio::io_context context;
+    runtime_pair pair(context);
+    std::vector<std::size_t> received;
+    const auto receive = [&](const base::node_id &from, std::string_view payload,
+                             base::time_point) -> control_runtime::messages {
+        STRCMP_EQUAL("sender", from.str().c_str());
+        received.push_back(payload.size());
+        return {};
+    };
+    pair.receiver().onMessage(base::channel::Lease, receive);
+    pair.receiver().start();
+    pair.sender().start();
+    pair.sender().send({toReceiver(std::string(1200, 'a')), toReceiver(std::string(1201, 'b'))});
+    CHECK_TRUE(runUntil(
+            context, [&] { return received.size() == 1 && pair.acceptor().messages.size() == 1; }));
+    CHECK_EQUAL(1200U, received.front());
+    CHECK_EQUAL(1201U, pair.acceptor().messages.front().payload.size());
+    const auto &large = pair.acceptor().messages.front();
+    pair.receiver().deliver(large.to, large.kind, large.payload);
+    CHECK_TRUE(runUntil(context, [&] { return received.size() == 2; }));
+}
+
+// Guards against a delayed datagram of a process that has been replaced.
+TEST(runtime_test, datagramsOfAnOlderIncarnationAreRefused)
+{
+    asio::io_context context;
+    runtime_pair pair(context, 2);
+    const auto older = pair.makeSender(context, 1);
+    std::vector<std::string> received;
+    pair.receiver().onMessage(base::channel::Lease,
+                              [&](const base::node_id &, std::string_view payload,
+                                  base::time_point) -> control_runtime::messages {
+                                  received.emplace_back(payload);
+                                  return {};
+                              });
+    pair.receiver().start();
+    pair.sender().start();
+    older->start();
+    pair.sender().send({toReceiver("new")});
+    CHECK_TRUE(runUntil(context, [&] { return received.size() == 1; }));
+    older->send({toReceiver("old")});
+    auto &refused = pair.metrics().counter("control_datagrams_refused_total",
+                                           "Datagrams with a wrong code, sender or incarnation");
+    CHECK_TRUE(runUntil(context, [&] { return refused.Value() == 1.0; }));
+    CHECK_EQUAL(1U, received.size());
+}
+
+// Guards against lost tasks of other threads and against ticks that stop.
+TEST(runtime_test, ticksRepeatAndPostedTasksOfOtherThreadsRun)
+{
+    asio::io_context context;
+    runtime_pair pair(context);
+    constexpr int TASKS = 1000;
+    int ticks = 0;
+    int tasks = 0;
+    pair.receiver().onTick([&](base::time_point) -> control_runtime::messages {
+        ++ticks;
+        return {};
+    });
+    pair.receiver().start();
+    std::thread poster([&] {
+        for (int i = 0; i < TASKS; ++i) {
+            pair.receiver().post([&](base::time_point) -> control_runtime::messages {
+                ++tasks;
+                return {};
+            });
+        }
+    });
+    CHECK_TRUE(runUntil(context, [&] { return tasks == TASKS && ticks >= 3; }));
+    poster.join();
+}
