Add the request path from callers to upstreams

The node had no data path. Modules caller and upstream now parse callers' HTTP/1.1 strictly, check node, route, key and rate, choose an executing node through policy::selector, run the request there with fair queue, attempt registry and connection pool, and stream both bodies. The executing code is the same for local requests and for streams of other nodes.

Tested: 1 test of the local path over real sockets. The forwarded path compiles against the peer link and has no test yet.

--- /dev/null
+++ b/src/caller/hooks.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "base/digest.h"
+#include "base/errorkind.h"
+#include "config/model.h"
+#include "membership/view.h"
+#include "upstream/exchange.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace hawthornpick::caller {
+
+//! What the selection of an upstream needs to know.
+struct selection_request
+{
+    const membership::view &view;
+    const config::service &service;
+    bool idempotent = false;
+    //! Bytes of the request body as far as they are known.
+    std::uint64_t bodyBytes = 0;
+    //! Nodes that refused this request or failed it; they are not chosen again.
+    std::vector<base::node_id> excluded;
+};
+
+//! The node that is to execute an attempt.
+struct chosen_node
+{
+    base::node_id id;
+    base::incarnation incarnation = 0;
+    membership::endpoint address;
+
+    auto operator<=>(const chosen_node &) const = default;
+};
+
+//! How an attempt ended, as the entry node sees it.
+struct attempt_report
+{
+    base::service_id service;
+    chosen_node chosen;
+    //! Empty if the answer was complete.
+    std::optional<base::error_kind> failure;
+    std::optional<policy::service_load> load;
+    base::duration elapsed{};
+};
+
+//! Decision of the rate limit.
+struct admission
+{
+    std::optional<base::error_kind> refusal;
+    base::milliseconds retryAfter{0};
+
+    auto operator<=>(const admission &) const = default;
+};
+
+//! Identity of the request that an Idempotency-Key stands for.
+struct idempotency_request
+{
+    base::organisation_id organisation;
+    std::string key;
+    base::digest256 digest;
+    base::milliseconds recordLife{0};
+    base::attempt_id attempt;
+    chosen_node chosen;
+};
+
+//! The record is held and the attempt may run; `claim` names it in later calls.
+struct idempotency_held
+{
+    std::uint64_t claim = 0;
+};
+
+//! An earlier request with the same key completed with this encoded answer.
+struct idempotency_replay
+{
+    std::string answer;
+};
+
+//! Result of a claim; an error is one of the `Idempotency...` kinds or `OutcomeUnknown`.
+using idempotency_claim = std::variant<idempotency_held, idempotency_replay, base::error>;
+
+//! Functions of the idempotency records. All are empty if the node has none; requests that need
+//! them are then refused with `IdempotencyUnavailable`.
+struct idempotency_hooks
+{
+    template <typename T>
+    using task = boost::asio::awaitable<T>;
+
+    std::function<task<idempotency_claim>(idempotency_request request)> claim;
+    //! Names the attempt of a retry after proof that the one before was not started.
+    std::function<task<bool>(idempotency_request request, std::uint64_t claim)> renew;
+    //! Stores the answer.
+    std::function<void(idempotency_request request, std::uint64_t claim, std::string answer)>
+            complete;
+    //! Frees the key after a request that was not run.
+    std::function<void(idempotency_request request, std::uint64_t claim)> release;
+};
+
+//! Decisions that other modules supply to the entry side. All functions are called on I/O threads,
+//! possibly at the same time, and must not block; coroutines resume on the calling thread. Except
+//! for `select`, an empty function stands for "always allowed" or "not observed".
+struct entry_hooks
+{
+    //! Returns true while this node holds a currency lease.
+    std::function<bool()> isCurrent;
+    //! Takes one token of the organisation.
+    std::function<boost::asio::awaitable<admission>(base::organisation_id organisation)> admit;
+    //! Errors: `NoUpstream`, `UpstreamEjected`, `QueueFull`, `RegionLinkBusy`.
+    std::function<base::result<chosen_node>(const selection_request &request)> select;
+    //! Called before each first attempt; feeds the retry budget.
+    std::function<void(const config::service &service)> onFirstAttempt;
+    //! Takes one retry from the budget; false if it is used up.
+    std::function<bool(const config::service &service)> spendRetry;
+    std::function<void(const attempt_report &report)> onAttemptEnd;
+    //! Returns true if the attempt was proved not to have started and never will.
+    std::function<boost::asio::awaitable<bool>(base::attempt_id attempt, chosen_node chosen)> fence;
+    idempotency_hooks idempotency;
+};
+
+} // namespace hawthornpick::caller
--- /dev/null
+++ b/src/caller/internal/wiring.cpp
@@ -0,0 +1,93 @@
+#include "caller/wiring.h"
+
+#include "upstream/callbackresult.h"
+
+namespace hawthornpick::caller {
+
+namespace {
+
+auto selectWith(policy::selector &selector, const selection_request &wanted)
+        -> base::result<chosen_node>
+{
+    policy::selection_request request;
+    request.service = wanted.service.id;
+    request.warmUp = wanted.service.warmUp;
+    request.idempotent = wanted.idempotent;
+    request.expectedBytes = wanted.bodyBytes;
+    request.excluded = wanted.excluded;
+    const auto chosen = selector.choose(wanted.view, request, base::clock::now());
+    if (!chosen) {
+        return tl::unexpected(chosen.error());
+    }
+    return chosen_node{chosen->node->id, chosen->node->incarnation, chosen->node->peerAddress};
+}
+
+// An attempt that reached an upstream counts as answered, whatever its outcome.
+auto tellSelector(policy::selector &selector, const attempt_report &report) -> void
+{
+    const auto now = base::clock::now();
+    const bool refused =
+            report.failure && base::answerFor(*report.failure).result == base::outcome::NotRun;
+    if (report.load && !refused) {
+        selector.onAnswer(report.service, report.chosen.id, *report.load, now);
+        return;
+    }
+    const auto kind = report.failure.value_or(base::error_kind::OutcomeUnknown);
+    selector.onRefusal(report.service, report.chosen.id, kind, now);
+}
+
+} // namespace
+
+auto service_budgets::budgetOf(const config::service &service) -> policy::retry_budget &
+{
+    const std::lock_guard lock(m_mutex);
+    auto &budget = m_budgets[service.id];
+    if (!budget) {
+        budget = std::make_unique<policy::retry_budget>(service.retryPercent);
+    }
+    budget->setRetryPercent(service.retryPercent);
+    return *budget;
+}
+
+auto service_budgets::onFirstAttempt(const config::service &service) -> void
+{
+    budgetOf(service).onFirstAttempt();
+}
+
+auto service_budgets::tryRetry(const config::service &service) -> bool
+{
+    return budgetOf(service).tryRetry();
+}
+
+auto policyHooks(policy::selector &selector, service_budgets &budgets) -> entry_hooks
+{
+    entry_hooks hooks;
+    hooks.select = [&selector](const selection_request &wanted) {
+        return selectWith(selector, wanted);
+    };
+    hooks.onAttemptEnd = [&selector](const attempt_report &report) {
+        tellSelector(selector, report);
+    };
+    hooks.onFirstAttempt = [&budgets](const config::service &service) {
+        budgets.onFirstAttempt(service);
+    };
+    hooks.spendRetry = [&budgets](const config::service &service) {
+        return budgets.tryRetry(service);
+    };
+    return hooks;
+}
+
+auto fenceHook(atmostonce::fence_client &fences) -> decltype(entry_hooks::fence)
+{
+    return [&fences](base::attempt_id attempt, chosen_node chosen) -> boost::asio::awaitable<bool> {
+        using atmostonce::fence_answer;
+        const atmostonce::attempt_place place{attempt, chosen.id, chosen.incarnation};
+        const auto answer = co_await upstream::awaitCallback<fence_answer>(
+                [&fences, place](std::function<void(fence_answer)> done) {
+                    fences.ask(place, atmostonce::fence_client::DEFAULT_LIMIT, std::move(done));
+                });
+        co_return answer == fence_answer::NotStarted;
+    };
+}
+
+} // namespace hawthornpick::caller
--- /dev/null
+++ b/src/caller/tests/scriptedupstream.cpp
@@ -0,0 +1,77 @@
+#include "caller/tests/scriptedupstream.h"
+
+#include <sys/socket.h>
+
+namespace hawthornpick::testing {
+
+scripted_upstream::scripted_upstream(script answer)
+    : m_answer(std::move(answer)), m_acceptor([this] { acceptAll(); })
+{}
+
+scripted_upstream::~scripted_upstream()
+{
+    m_stopped = true;
+    m_listener.stop();
+    m_acceptor.join();
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+}
+
+auto scripted_upstream::acceptAll() -> void
+{
+    while (!m_stopped) {
+        const int socket = m_listener.accept();
+        if (socket < 0) {
+            return;
+        }
+        const std::lock_guard lock(m_mutex);
+        m_peers.push_back(std::make_unique<raw_client>(socket, 0));
+        m_threads.emplace_back([this, peer = m_peers.back().get()] { serve(*peer); });
+    }
+}
+
+auto scripted_upstream::serve(raw_client &peer) -> void
+{
+    for (bool open = true; open && !m_stopped;) {
+        auto head = peer.readUntil("\r\n\r\n", base::milliseconds(100));
+        if (peer.closed()) {
+            ++m_closedByPeer;
+            break;
+        }
+        if (head.empty()) {
+            continue;
+        }
+        int number = 0;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_heads.push_back(head);
+            number = static_cast<int>(m_heads.size());
+        }
+        open = m_answer(peer, head, number);
+    }
+    peer.close();
+}
+
+auto scripted_upstream::heads() -> std::vector<std::string>
+{
+    const std::lock_guard lock(m_mutex);
+    return m_heads;
+}
+
+auto scripted_upstream::connectionCount() -> std::size_t
+{
+    const std::lock_guard lock(m_mutex);
+    return m_peers.size();
+}
+
+auto answerWith(const std::string &body) -> scripted_upstream::script
+{
+    return [body](raw_client &peer, const std::string &, int) {
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                  + body);
+        return true;
+    };
+}
+
+} // namespace hawthornpick::testing
--- /dev/null
+++ b/src/caller/tests/testnode.cpp
@@ -0,0 +1,136 @@
+#include "caller/tests/testnode.h"
+
+#include "caller/tests/rawclient.h"
+#include "upstream/wiring.h"
+
+namespace hawthornpick::testing {
+
+namespace {
+
+auto makeRoute(const char *id, const char *path, config::route_access access, bool idempotent)
+        -> config::route
+{
+    config::route route;
+    route.id = base::route_id(id);
+    route.pathPrefix = path;
+    route.service = base::service_id("svc");
+    route.access = access;
+    route.idempotent = idempotent;
+    return route;
+}
+
+} // namespace
+
+auto testConfiguration() -> config::config_set
+{
+    using enum config::route_access;
+    config::config_set set;
+    set.organisations.push_back({base::organisation_id("org"), 1e6, 1000000, 1});
+    set.keys.push_back(
+            {base::key_id("key-1"), base::organisation_id("org"), base::sha256("k-secret")});
+    config::service service;
+    service.id = base::service_id("svc");
+    set.services.push_back(service);
+    set.routes.push_back(makeRoute("keyed", "/keyed", Keyed, true));
+    set.routes.push_back(makeRoute("open", "/open", Open, true));
+    set.routes.push_back(makeRoute("pay", "/pay", Keyed, false));
+    set.routes.push_back(makeRoute("small", "/small", Open, true));
+    set.routes.back().maxBodyBytes = 100;
+    return set;
+}
+
+test_node::test_node(config::config_set set, std::uint32_t maxConnections, std::size_t threads)
+    : m_configuration(std::make_shared<const config::snapshot>(1, std::move(set))),
+      m_fleet(std::make_shared<const membership::view>()),
+      m_selector(policy::selector_settings{base::node_id("n1"), base::region_id("r1")}, 1),
+      m_attempts(7)
+{
+    std::vector<boost::asio::io_context *> contexts;
+    for (std::size_t i = 0; i < threads; ++i) {
+        m_contexts.push_back(std::make_unique<boost::asio::io_context>(1));
+        m_work.push_back(boost::asio::make_work_guard(*m_contexts.back()));
+        contexts.push_back(m_contexts.back().get());
+    }
+    upstream::executor_hooks hooks;
+    hooks.isCurrent = [this] {
+        return m_current.load();
+    };
+    hooks.start = upstream::startHook(m_attempts);
+    hooks.onFinish = [this](const auto &, const upstream::attempt_finish &finish) {
+        ++m_endings.at(static_cast<std::size_t>(finish.ending));
+    };
+    m_upstreams = std::make_unique<upstream::upstream_service>(
+            contexts, membership::endpoint{"127.0.0.1", 0},
+            upstream::service_dependencies{base::node_id("n1"), 7, m_configuration, hooks,
+                                           [this](const auto &entries) {
+                                               publish(entries);
+                                           }});
+    auto entryHooks = caller::policyHooks(m_selector, m_budgets);
+    entryHooks.isCurrent = hooks.isCurrent;
+    m_server =
+            std::make_unique<caller::caller_server>(contexts, membership::endpoint{"127.0.0.1", 0},
+                                                    caller::server_dependencies{base::node_id("n1"),
+                                                                                m_configuration,
+                                                                                m_fleet,
+                                                                                *m_upstreams,
+                                                                                {},
+                                                                                m_metrics,
+                                                                                entryHooks,
+                                                                                maxConnections});
+    for (auto *context : contexts) {
+        m_threads.emplace_back([context] { context->run(); });
+    }
+}
+
+test_node::~test_node()
+{
+    for (auto &context : m_contexts) {
+        context->stop();
+    }
+    for (auto &thread : m_threads) {
+        thread.join();
+    }
+}
+
+auto test_node::publish(const std::vector<membership::upstream_entry> &entries) -> void
+{
+    membership::node_entry node;
+    node.id = base::node_id("n1");
+    node.incarnation = 7;
+    node.region = base::region_id("r1");
+    node.upstreams = entries;
+    m_fleet.store(
+            std::make_shared<const membership::view>(1, std::vector<membership::node_entry>{node}));
+}
+
+auto test_node::announce(const std::string &name, std::uint16_t upstreamPort, std::uint32_t slots,
+                         membership::upstream_state state) -> void
+{
+    // Far in the future, so that the announcement outlives the test without being repeated.
+    const auto later = base::clock::now() + std::chrono::hours(1);
+    m_upstreams->registry().announce(
+            {name, base::service_id("svc"), {"127.0.0.1", upstreamPort}, slots, state, 1}, later);
+}
+
+auto test_node::endings(upstream::attempt_ending ending) -> int
+{
+    return m_endings.at(static_cast<std::size_t>(ending)).load();
+}
+
+auto exchange(std::uint16_t port, std::string_view request, base::milliseconds limit) -> std::string
+{
+    raw_client client(port);
+    client.send(request);
+    return client.readUntilEnd(limit);
+}
+
+auto waitUntil(const std::function<bool()> &condition) -> bool
+{
+    const auto end = base::clock::now() + std::chrono::seconds(10);
+    while (!condition() && base::clock::now() < end) {
+        std::this_thread::sleep_for(base::milliseconds(5));
+    }
+    return condition();
+}
+
+} // namespace hawthornpick::testing
--- /dev/null
+++ b/src/upstream/hooks.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "base/time.h"
+#include "upstream/exchange.h"
+
+#include <compare>
+#include <functional>
+#include <optional>
+
+namespace hawthornpick::upstream {
+
+//! How an attempt that was started ended, as seen on the upstream's connection.
+enum class attempt_ending : std::uint8_t {
+    //! Answer with a status below 500.
+    Answered,
+    //! Answer with a status from 500.
+    ServerError,
+    //! No connection could be opened.
+    ConnectFailed,
+    //! The connection was lost before a complete answer head.
+    ConnectionLost,
+    //! The answer ended early.
+    Truncated,
+    //! No answer head within the timeout of the service.
+    TimedOut,
+    //! The deadline passed before an answer head.
+    DeadlinePassed,
+    //! The caller left or failed to send its body; says nothing about the upstream.
+    Cancelled,
+};
+
+//! One attempt as an observation for failure detection.
+struct attempt_observation
+{
+    base::attempt_id attempt;
+    base::upstream_id upstream;
+    base::incarnation upstreamIncarnation = 0;
+    base::service_id service;
+    base::organisation_id organisation;
+    base::route_id route;
+    base::digest256 fingerprint;
+    bool idempotent = false;
+    base::time_point started;
+
+    auto operator<=>(const attempt_observation &) const = default;
+};
+
+//! End of an observed attempt.
+struct attempt_finish
+{
+    attempt_ending ending = attempt_ending::Answered;
+    //! Time from start to the answer head, or to the failure.
+    base::duration latency{};
+
+    auto operator<=>(const attempt_finish &) const = default;
+};
+
+//! Decisions and observers that other modules supply to the executing side. All functions are
+//! called on I/O threads, possibly at the same time, and must not block. An empty function stands
+//! for "always allowed" or "not observed".
+struct executor_hooks
+{
+    //! Returns true while this node holds a currency lease.
+    std::function<bool()> isCurrent;
+    //! Crash fingerprints and the like; called before queueing and again before the start.
+    std::function<base::result<void>(const attempt_request &request)> permit;
+    //! Attempt registry: marks the attempt as started. Called at most once for each attempt.
+    std::function<base::result<void>(const attempt_request &request)> start;
+    std::function<void(const attempt_observation &observation)> onStart;
+    std::function<void(const attempt_observation &observation, const attempt_finish &finish)>
+            onFinish;
+};
+
+} // namespace hawthornpick::upstream
--- /dev/null
+++ b/src/upstream/idl/requestwire.thrift
@@ -0,0 +1,51 @@
+namespace cpp hawthornpick.upstream.wire
+
+// Load of the service on the executing node.
+struct load_report {
+  1: i32 usable_slots
+  2: i32 busy_slots
+  3: i32 waiting
+  4: i64 mean_service_us
+}
+
+// Head of a request stream. `headers` is a block of cleaned header lines, each with CRLF.
+struct request_head {
+  1: i64 attempt_high
+  2: i64 attempt_low
+  3: i64 node_incarnation
+  4: i64 config_version
+  5: string organisation
+  6: string key
+  7: string service_name
+  8: string route
+  9: bool idempotent
+  10: i64 remaining_ms
+  11: string request_id
+  12: binary fingerprint
+  13: string method
+  14: string target
+  15: binary headers
+  16: optional i64 content_length
+  17: binary body
+  18: bool body_complete
+}
+
+// Head of an answer stream. `refusal` is set if the request was not run or failed before an answer;
+// then the other fields are empty.
+struct answer_head {
+  1: optional i8 refusal
+  2: string detail
+  3: i32 status
+  4: binary headers
+  5: optional i64 content_length
+  6: binary body
+  7: bool body_complete
+  8: optional load_report load
+}
+
+// End of an answer stream. `failure` is set if the answer is incomplete.
+struct answer_end {
+  1: optional i8 failure
+  2: string detail
+  3: load_report load
+}
--- /dev/null
+++ b/src/upstream/internal/connectionpool.cpp
@@ -0,0 +1,96 @@
+#include "upstream/internal/connectionpool.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <sys/socket.h>
+
+namespace hawthornpick::upstream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// An idle connection has nothing to read. Readable data or an end means that it can't be reused.
+auto isQuiet(asio::ip::tcp::socket &socket) -> bool
+{
+    char byte = 0;
+    const auto count = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+auto connection_pool::takeIdle(const upstream_record &target, base::milliseconds maxIdle)
+        -> connection_pointer
+{
+    const auto position = m_idle.find(target.entry.id);
+    if (position == m_idle.end()) {
+        return nullptr;
+    }
+    auto &idle = position->second;
+    const auto oldest = base::clock::now() - maxIdle;
+    while (!idle.empty() && idle.back()->idleSince >= oldest) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        if (connection->incarnation == target.entry.incarnation && isQuiet(connection->socket)) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+auto connection_pool::connect(const upstream_record &target, base::time_point limit,
+                              cancellation &cancel)
+        -> asio::awaitable<base::result<connection_pointer>>
+{
+    auto connection = std::make_unique<upstream_connection>(m_context.get_executor());
+    connection->upstream = target.entry.id;
+    connection->incarnation = target.entry.incarnation;
+    auto *raw = connection.get();
+    raw->timer.set(limit, [raw] { raw->close(); });
+    cancel.onRequest([raw] { raw->close(); });
+    const asio::ip::tcp::endpoint where(asio::ip::make_address(target.address.address),
+                                        target.address.port);
+    const auto [error] =
+            co_await raw->socket.async_connect(where, asio::as_tuple(asio::use_awaitable));
+    raw->timer.clear();
+    cancel.onRequest(nullptr);
+    if (cancel.reason()) {
+        co_return base::fail(*cancel.reason());
+    }
+    if (error || !raw->socket.is_open()) {
+        co_return base::fail(base::error_kind::UpstreamUnreachable, error.message());
+    }
+    boost::system::error_code ignored;
+    raw->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    co_return connection;
+}
+
+auto connection_pool::giveBack(connection_pointer connection) -> void
+{
+    connection->timer.clear();
+    connection->reused = true;
+    connection->idleSince = base::clock::now();
+    m_idle[connection->upstream].push_back(std::move(connection));
+}
+
+auto connection_pool::closeIdle(base::time_point now) -> void
+{
+    for (auto &[upstream, idle] : m_idle) {
+        std::erase_if(idle, [now](const connection_pointer &connection) {
+            return connection->idleSince + MAX_IDLE <= now;
+        });
+    }
+    std::erase_if(m_idle, [](const auto &item) { return item.second.empty(); });
+}
+
+auto connection_pool::idleCount() const -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto &[upstream, idle] : m_idle) {
+        count += idle.size();
+    }
+    return count;
+}
+
+} // namespace hawthornpick::upstream
--- /dev/null
+++ b/src/upstream/internal/connectionpool.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "upstream/deadlinetimer.h"
+#include "upstream/exchange.h"
+#include "upstream/registry.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace hawthornpick::upstream {
+
+//! A connection to an upstream. It is closed unless it is given back to the pool.
+struct upstream_connection
+{
+    explicit upstream_connection(const boost::asio::any_io_executor &executor)
+        : socket(executor), timer(executor)
+    {}
+
+    boost::asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    deadline_timer timer;
+    base::upstream_id upstream;
+    base::incarnation incarnation = 0;
+    base::time_point idleSince;
+    //! True if it has served a request before.
+    bool reused = false;
+
+    auto close() -> void
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+};
+
+using connection_pointer = std::unique_ptr<upstream_connection>;
+
+//! Idle connections of one I/O thread to the upstreams of this host.
+//! Thread safety: the thread of the io_context.
+class connection_pool
+{
+public:
+    //! Upstreams commonly close idle connections after 5 s.
+    static constexpr base::milliseconds MAX_IDLE{4000};
+    //! A request that may not be repeated avoids connections that the upstream may be closing.
+    static constexpr base::milliseconds MAX_IDLE_NOT_IDEMPOTENT{1000};
+
+    explicit connection_pool(boost::asio::io_context &context) : m_context(context) {}
+
+    //! Takes the most recently used idle connection that is still open, or null.
+    auto takeIdle(const upstream_record &target, base::milliseconds maxIdle) -> connection_pointer;
+
+    //! Opens a connection. Errors: `UpstreamUnreachable`, the reason of `cancel`.
+    auto connect(const upstream_record &target, base::time_point limit, cancellation &cancel)
+            -> boost::asio::awaitable<base::result<connection_pointer>>;
+
+    //! Keeps a connection for reuse.
+    //! Precondition: its last exchange is complete in both directions.
+    auto giveBack(connection_pointer connection) -> void;
+
+    //! Closes connections that are idle for too long. Call every second.
+    auto closeIdle(base::time_point now) -> void;
+
+    auto closeAll() -> void { m_idle.clear(); }
+
+    [[nodiscard]] auto idleCount() const -> std::size_t;
+
+private:
+    boost::asio::io_context &m_context;
+    std::unordered_map<base::upstream_id, std::vector<connection_pointer>> m_idle;
+};
+
+} // namespace hawthornpick::upstream
--- /dev/null
+++ b/src/upstream/internal/executorstate.cpp
@@ -0,0 +1,280 @@
+#include "upstream/internal/executorstate.h"
+
+#include "upstream/internal/slotwait.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hawthornpick::upstream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using base::error_kind;
+using membership::upstream_state;
+
+constexpr std::chrono::seconds POOL_CHECK_INTERVAL{1};
+
+auto endingOf(const exchange_result &result) -> attempt_ending
+{
+    if (!result.failure) {
+        return result.status >= 500 ? attempt_ending::ServerError : attempt_ending::Answered;
+    }
+    switch (result.failure->kind) {
+    case error_kind::UpstreamUnreachable:
+        return attempt_ending::ConnectFailed;
+    case error_kind::UpstreamFailed:
+        return attempt_ending::ConnectionLost;
+    case error_kind::UpstreamTruncated:
+        return attempt_ending::Truncated;
+    case error_kind::UpstreamTimeout:
+        return attempt_ending::TimedOut;
+    case error_kind::DeadlineAfterStart:
+        return result.answerStarted ? attempt_ending::Cancelled : attempt_ending::DeadlinePassed;
+    default:
+        return attempt_ending::Cancelled;
+    }
+}
+
+auto observationOf(const attempt_request &request, const upstream_record &target)
+        -> attempt_observation
+{
+    return {request.attempt,      target.entry.id,      target.entry.incarnation,
+            target.entry.service, request.organisation, request.route,
+            request.fingerprint,  request.idempotent,   base::clock::now()};
+}
+
+// A connection that the upstream closed while it was idle looks like one lost during the request.
+// The request may go out again if the upstream can't have seen it, or if running twice is harmless.
+auto mayRepeatOnFresh(const exchange_result &result, const attempt_request &request, bool reused)
+        -> bool
+{
+    if (!reused || !result.failure || result.failure->kind != error_kind::UpstreamFailed
+        || !result.lostBeforeAnswer || result.sourceUsed) {
+        return false;
+    }
+    return result.nothingSent || request.idempotent;
+}
+
+} // namespace
+
+executor_state::executor_state(asio::io_context &context, executor_dependencies dependencies)
+    : m_context(context), m_dependencies(std::move(dependencies)),
+      m_configuration(m_dependencies.configuration), m_upstreams(m_dependencies.upstreams),
+      m_pool(context), m_timer(context)
+{}
+
+auto executor_state::lookAfterPool(std::shared_ptr<executor_state> self) -> asio::awaitable<void>
+{
+    while (!self->m_stopped) {
+        self->m_pool.closeIdle(base::clock::now());
+        self->m_timer.expires_after(POOL_CHECK_INTERVAL);
+        co_await self->m_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
+auto executor_state::stop() -> void
+{
+    m_stopped = true;
+    m_timer.cancel();
+    m_pool.closeAll();
+}
+
+auto executor_state::loadOf(const base::service_id &service) -> std::optional<policy::service_load>
+{
+    const auto queue = m_upstreams.current()->queueOf(service);
+    if (!queue) {
+        return std::nullopt;
+    }
+    return queue->load();
+}
+
+auto executor_state::checkKey(const attempt_request &request) -> base::result<void>
+{
+    const auto &snapshot = *m_configuration.current();
+    // Without the version that the entry node used, this node can't judge the key or the route.
+    if (snapshot.version() < request.configVersion) {
+        return base::fail(error_kind::ConfigNotCurrent);
+    }
+    const auto &routes = snapshot.set().routes;
+    const auto route = std::lower_bound(
+            routes.begin(), routes.end(), request.route,
+            [](const config::route &item, const base::route_id &id) { return item.id < id; });
+    if (route == routes.end() || route->id != request.route) {
+        return base::fail(error_kind::NoRoute);
+    }
+    if (route->access == config::route_access::Open) {
+        return {};
+    }
+    const auto *key = snapshot.keyById(request.key);
+    if (key == nullptr || key->organisation != request.organisation) {
+        return base::fail(error_kind::KeyInvalid);
+    }
+    return {};
+}
+
+auto executor_state::check(const attempt_request &request) -> base::result<void>
+{
+    const auto &hooks = m_dependencies.hooks;
+    if (request.nodeIncarnation != m_dependencies.nodeIncarnation) {
+        return base::fail(error_kind::IncarnationChanged);
+    }
+    if (hooks.isCurrent && !hooks.isCurrent()) {
+        return base::fail(error_kind::ConfigNotCurrent);
+    }
+    if (auto key = checkKey(request); !key) {
+        return key;
+    }
+    if (request.deadline <= base::clock::now()) {
+        return base::fail(error_kind::DeadlineBeforeStart);
+    }
+    return hooks.permit ? hooks.permit(request) : base::result<void>{};
+}
+
+auto executor_state::run(const attempt_request &request, const body_source &source,
+                         const answer_sink &sink, cancellation &cancel)
+        -> asio::awaitable<attempt_result>
+{
+    ++active;
+    auto result = co_await runOnUpstream(request, source, sink, cancel);
+    --active;
+    result.load = loadOf(request.service);
+    co_return result;
+}
+
+auto executor_state::runOnUpstream(const attempt_request &request, const body_source &source,
+                                   const answer_sink &sink, cancellation &cancel)
+        -> asio::awaitable<attempt_result>
+{
+    if (cancel.reason()) {
+        co_return attempt_result{base::error{*cancel.reason(), {}}, false, {}};
+    }
+    if (const auto admitted = check(request); !admitted) {
+        co_return attempt_result{admitted.error(), false, {}};
+    }
+    auto slot = co_await takeSlot(request, cancel);
+    if (!slot) {
+        co_return attempt_result{slot.error(), false, {}};
+    }
+    const auto target = prepareStart(request, slot->upstream());
+    if (!target) {
+        co_return attempt_result{target.error(), false, {}};
+    }
+    const auto outcome = co_await runStarted(request, **target, source, sink, cancel);
+    if (!outcome.failure && outcome.status < 500) {
+        slot->markSucceeded();
+    }
+    co_return attempt_result{outcome.failure, outcome.answerStarted, {}};
+}
+
+auto executor_state::takeSlot(const attempt_request &request, cancellation &cancel)
+        -> asio::awaitable<base::result<slot_guard>>
+{
+    const auto queue = m_upstreams.current()->queueOf(request.service);
+    if (!queue) {
+        co_return base::fail(error_kind::NoUpstream);
+    }
+    const auto *organisation = m_configuration.current()->organisationById(request.organisation);
+    const auto weight = organisation == nullptr ? 1 : organisation->weight;
+    const policy::slot_request wanted{request.attempt, request.organisation, weight,
+                                      request.deadline, request.idempotent};
+    const auto wait = std::make_shared<slot_wait>(m_context.get_executor());
+    const auto entered = queue->enter(wanted, base::clock::now(), slot_wait::resumeFunction(wait));
+    if (!entered) {
+        co_return tl::unexpected(entered.error());
+    }
+    if (*entered) {
+        co_return slot_guard(queue, **entered);
+    }
+    const auto granted = co_await slot_wait::finish(wait, *queue, wanted, cancel);
+    if (!granted) {
+        co_return tl::unexpected(granted.error());
+    }
+    slot_guard guard(queue, *granted);
+    if (cancel.reason()) {
+        co_return base::fail(*cancel.reason());
+    }
+    co_return guard;
+}
+
+// While the request waited, its key may have been revoked or the upstream may have left.
+auto executor_state::prepareStart(const attempt_request &request, const base::upstream_id &upstream)
+        -> base::result<record_pointer>
+{
+    if (auto checked = check(request); !checked) {
+        return tl::unexpected(checked.error());
+    }
+    auto record = m_upstreams.current()->find(upstream);
+    if (!record) {
+        return base::fail(error_kind::NoUpstream);
+    }
+    if (record->entry.state != upstream_state::Ready) {
+        return base::fail(error_kind::UpstreamDraining);
+    }
+    if (m_dependencies.hooks.start) {
+        if (auto started = m_dependencies.hooks.start(request); !started) {
+            return tl::unexpected(started.error());
+        }
+    }
+    return record;
+}
+
+auto executor_state::runStarted(const attempt_request &request, const upstream_record &target,
+                                const body_source &source, const answer_sink &sink,
+                                cancellation &cancel) -> asio::awaitable<exchange_result>
+{
+    const auto &hooks = m_dependencies.hooks;
+    const auto observation = observationOf(request, target);
+    if (hooks.onStart) {
+        hooks.onStart(observation);
+    }
+    const auto service = serviceOf(request);
+    exchange_result result;
+    for (bool fresh = false, again = true; again;) {
+        auto connection = co_await takeConnection(request, target, fresh, cancel);
+        if (!connection) {
+            // After a first send on another connection the request may have been seen.
+            if (!fresh || result.nothingSent) {
+                result = {};
+                result.failure = connection.error();
+            }
+            break;
+        }
+        upstream_exchange exchange(**connection, request, service.timeout, source, sink, cancel);
+        result = co_await exchange.run();
+        again = !fresh && mayRepeatOnFresh(result, request, (*connection)->reused);
+        fresh = true;
+        if (result.reusable) {
+            m_pool.giveBack(std::move(*connection));
+        }
+    }
+    if (hooks.onFinish) {
+        const auto end = result.headTime.value_or(base::clock::now());
+        hooks.onFinish(observation, {endingOf(result), end - observation.started});
+    }
+    co_return result;
+}
+
+auto executor_state::serviceOf(const attempt_request &request) -> config::service
+{
+    const auto *service = m_configuration.current()->serviceById(request.service);
+    return service == nullptr ? config::service{} : *service;
+}
+
+auto executor_state::takeConnection(const attempt_request &request, const upstream_record &target,
+                                    bool fresh, cancellation &cancel)
+        -> asio::awaitable<base::result<connection_pointer>>
+{
+    if (!fresh) {
+        const auto maxIdle = request.idempotent ? connection_pool::MAX_IDLE
+                                                : connection_pool::MAX_IDLE_NOT_IDEMPOTENT;
+        if (auto idle = m_pool.takeIdle(target, maxIdle)) {
+            co_return idle;
+        }
+    }
+    const auto limit = base::clock::now() + serviceOf(request).connectTimeout;
+    co_return co_await m_pool.connect(target, std::min(limit, request.deadline), cancel);
+}
+
+} // namespace hawthornpick::upstream
--- /dev/null
+++ b/src/upstream/internal/forwarder.cpp
@@ -0,0 +1,228 @@
+#include "upstream/forwarder.h"
+
+#include "upstream/deadlinetimer.h"
+#include "upstream/wakesignal.h"
+#include "upstream/wirecodec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace hawthornpick::upstream {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using base::error_kind;
+
+// A head may have 64 KB, of which the header lines take at most 16 KB.
+constexpr std::size_t MAX_BODY_IN_HEAD_BYTES = 32UL * 1024;
+constexpr std::size_t PART_BYTES = 16UL * 1024;
+
+// One attempt on a stream to another node.
+class forwarding
+{
+public:
+    forwarding(asio::io_context &context, peer::stream_pointer stream,
+               const attempt_request &request, const body_source &source, const answer_sink &sink)
+        : m_context(context), m_stream(std::move(stream)), m_request(request), m_source(source),
+          m_sink(sink), m_bodyDone(context.get_executor())
+    {}
+
+    auto run() -> asio::awaitable<attempt_result>
+    {
+        const auto sent = co_await sendHead();
+        if (!sent) {
+            co_return attempt_result{sent.error(), false, {}};
+        }
+        co_await receiveAnswer();
+        co_await joinBody();
+        if (!m_result.failure) {
+            co_await m_stream->sendEnd({});
+        }
+        co_return m_result;
+    }
+
+    // Ends the stream from outside of `run`.
+    auto abandon(error_kind reason) -> void
+    {
+        if (!m_result.failure) {
+            m_result.failure = base::error{reason, "abandoned"};
+        }
+        m_stream->reset(reason);
+    }
+
+private:
+    auto sendHead() -> asio::awaitable<base::result<void>>
+    {
+        const auto now = base::clock::now();
+        if (m_request.body.size() <= MAX_BODY_IN_HEAD_BYTES) {
+            const auto sent = co_await m_stream->sendHead(encodeRequest(m_request, now));
+            if (sent && !m_request.bodyComplete) {
+                startBody({});
+            }
+            co_return sent;
+        }
+        auto head = m_request;
+        auto rest = std::exchange(head.body, {});
+        if (m_request.bodyComplete) {
+            head.contentLength = rest.size();
+        }
+        head.bodyComplete = false;
+        const auto sent = co_await m_stream->sendHead(encodeRequest(head, now));
+        if (sent) {
+            startBody(std::move(rest));
+        }
+        co_return sent;
+    }
+
+    auto startBody(std::string start) -> void
+    {
+        m_bodyRunning = true;
+        asio::co_spawn(m_context, sendBody(std::move(start)), asio::detached);
+    }
+
+    auto sendBody(std::string start) -> asio::awaitable<void>
+    {
+        bool open = true;
+        for (std::size_t at = 0; at < start.size() && open; at += PART_BYTES) {
+            open = co_await sendPart(start.substr(at, PART_BYTES), false);
+        }
+        while (open && !m_request.bodyComplete) {
+            auto part = co_await m_source.read();
+            if (!part) {
+                if (!m_joining) {
+                    abandon(part.error().kind);
+                }
+                open = false;
+                break;
+            }
+            if (part->empty()) {
+                break;
+            }
+            open = co_await sendPart(std::move(*part), false);
+        }
+        if (open) {
+            co_await sendPart({}, true);
+        }
+        m_bodyRunning = false;
+        m_bodyDone.notify();
+    }
+
+    auto sendPart(std::string part, bool last) -> asio::awaitable<bool>
+    {
+        part.push_back(last ? LAST_PART : MORE_PARTS);
+        const auto sent = co_await m_stream->sendData(std::move(part));
+        co_return sent.has_value();
+    }
+
+    auto joinBody() -> asio::awaitable<void>
+    {
+        if (!m_bodyRunning) {
+            co_return;
+        }
+        m_joining = true;
+        if (m_source.stop) {
+            m_source.stop();
+        }
+        m_stream->reset(error_kind::CallerGone);
+        while (m_bodyRunning) {
+            co_await m_bodyDone.wait();
+        }
+    }
+
+    auto receiveAnswer() -> asio::awaitable<void>
+    {
+        while (true) {
+            auto event = co_await m_stream->receive();
+            if (!event) {
+                fail(event.error());
+                co_return;
+            }
+            if (const auto *end = std::get_if<peer::stream_end>(&*event)) {
+                takeEnd(end->bytes);
+                co_return;
+            }
+            const auto taken = co_await takePart(std::move(*event));
+            if (!taken) {
+                fail(taken.error());
+                m_stream->reset(taken.error().kind);
+                co_return;
+            }
+        }
+    }
+
+    auto takePart(peer::stream_event event) -> asio::awaitable<base::result<void>>
+    {
+        if (auto *data = std::get_if<peer::stream_data>(&event)) {
+            co_return co_await m_sink.data(std::move(data->bytes));
+        }
+        auto opening = decodeOpening(std::get<peer::stream_head>(event).bytes);
+        if (!opening) {
+            co_return base::fail(error_kind::OutcomeUnknown, "damaged answer head");
+        }
+        if (opening->refusal) {
+            m_result.failure = opening->refusal;
+            co_return base::result<void>{};
+        }
+        m_result.answerStarted = true;
+        co_return co_await m_sink.start(std::move(opening->start));
+    }
+
+    auto takeEnd(const std::string &bytes) -> void
+    {
+        const auto closing = decodeClosing(bytes);
+        if (!closing) {
+            fail({error_kind::OutcomeUnknown, "damaged answer end"});
+            return;
+        }
+        m_result.load = closing->load;
+        if (closing->failure) {
+            fail(*closing->failure);
+        } else if (!m_result.answerStarted && !m_result.failure) {
+            fail({error_kind::OutcomeUnknown, "answer without a head"});
+        }
+    }
+
+    auto fail(base::error what) -> void
+    {
+        if (!m_result.failure) {
+            m_result.failure = std::move(what);
+        }
+    }
+
+    asio::io_context &m_context;
+    peer::stream_pointer m_stream;
+    const attempt_request &m_request;
+    const body_source &m_source;
+    const answer_sink &m_sink;
+    attempt_result m_result;
+    wake_signal m_bodyDone;
+    bool m_bodyRunning = false;
+    bool m_joining = false;
+};
+
+} // namespace
+
+auto forwarder::run(const remote_node &target, const attempt_request &request,
+                    const body_source &source, const answer_sink &sink, cancellation &cancel)
+        -> asio::awaitable<attempt_result>
+{
+    auto stream = co_await m_links.open(target.id, target.address, target.incarnation);
+    if (!stream) {
+        co_return attempt_result{stream.error(), false, {}};
+    }
+    if (cancel.reason()) {
+        co_return attempt_result{base::error{*cancel.reason(), {}}, false, {}};
+    }
+    forwarding work(m_context, std::move(*stream), request, source, sink);
+    deadline_timer timer(m_context.get_executor());
+    timer.set(request.deadline + DEADLINE_GRACE,
+              [&work] { work.abandon(error_kind::DeadlineAfterStart); });
+    cancel.onRequest([&work, &cancel] { work.abandon(*cancel.reason()); });
+    auto result = co_await work.run();
+    cancel.onRequest(nullptr);
+    co_return result;
+}
+
+} // namespace hawthornpick::upstream
--- /dev/null
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -0,0 +1,387 @@
+#include "upstream/internal/upstreamexchange.h"
+
+#include "upstream/headerrules.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <charconv>
+
+namespace hawthornpick::upstream {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+using base::error_kind;
+
+constexpr std::size_t READ_BYTES = 16UL * 1024;
+// Fits, with the other fields, into the 64 KB that a head may take on the peer link.
+constexpr std::uint32_t MAX_ANSWER_HEADER_BYTES = 32U * 1024;
+constexpr auto WITH_ERROR = asio::as_tuple(asio::use_awaitable);
+
+auto hexadecimal(std::size_t number) -> std::string
+{
+    std::array<char, 16> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, 16).ptr;
+    return {digits.data(), end};
+}
+
+auto expectsBody(std::string_view method) -> bool
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
+auto appendFraming(std::string &out, const attempt_request &request) -> void
+{
+    if (request.bodyComplete) {
+        if (!request.body.empty() || expectsBody(request.method)) {
+            appendHeader(out, "Content-Length", std::to_string(request.body.size()));
+        }
+        return;
+    }
+    if (request.contentLength) {
+        appendHeader(out, "Content-Length", std::to_string(*request.contentLength));
+        return;
+    }
+    appendHeader(out, "Transfer-Encoding", "chunked");
+}
+
+auto asChunk(std::string_view part) -> std::string
+{
+    std::string out = hexadecimal(part.size());
+    out.append("\r\n").append(part).append("\r\n");
+    return out;
+}
+
+} // namespace
+
+auto formatUpstreamRequest(const attempt_request &request, base::time_point now) -> std::string
+{
+    std::string out;
+    out.reserve(request.target.size() + request.headers.size() + request.body.size() + 256);
+    out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    out.append(request.headers);
+    const auto remaining = std::max<std::int64_t>(base::toMilliseconds(request.deadline - now), 0);
+    appendHeader(out, "X-Request-Deadline-Ms", std::to_string(remaining));
+    appendHeader(out, "X-Request-Id", request.requestId);
+    appendFraming(out, request);
+    out.append("\r\n");
+    const bool chunked = !request.bodyComplete && !request.contentLength;
+    if (!request.body.empty()) {
+        out.append(chunked ? asChunk(request.body) : request.body);
+    }
+    return out;
+}
+
+upstream_exchange::upstream_exchange(upstream_connection &connection,
+                                     const attempt_request &request, base::milliseconds timeout,
+                                     const body_source &source, const answer_sink &sink,
+                                     cancellation &cancel)
+    : m_connection(connection), m_request(request), m_timeout(timeout), m_source(source),
+      m_sink(sink), m_cancel(cancel), m_bodyDone(connection.socket.get_executor())
+{}
+
+auto upstream_exchange::run() -> asio::awaitable<exchange_result>
+{
+    m_cancel.onRequest([this] { m_connection.close(); });
+    limitTime(base::clock::now() + m_timeout);
+    if (co_await sendHead()) {
+        if (!m_request.bodyComplete) {
+            m_bodyRunning = true;
+            m_bodySent = false;
+            asio::co_spawn(m_connection.socket.get_executor(), sendBody(), asio::detached);
+        }
+        co_await readAnswer();
+    }
+    co_await joinBody();
+    m_connection.timer.clear();
+    m_cancel.onRequest(nullptr);
+    if (m_cancel.reason()) {
+        fail(*m_cancel.reason(), "cancelled");
+    }
+    m_result.reusable = !m_result.failure && m_bodySent && m_parser->is_done()
+                        && m_parser->get().keep_alive() && m_connection.buffer.size() == 0
+                        && m_connection.socket.is_open();
+    co_return m_result;
+}
+
+auto upstream_exchange::limitTime(base::time_point limit) -> void
+{
+    m_connection.timer.set(std::min(limit, m_request.deadline), [this] {
+        m_expired = true;
+        m_connection.close();
+    });
+}
+
+// The first failure is the cause; later ones follow from closing the connection.
+auto upstream_exchange::fail(error_kind kind, std::string detail) -> void
+{
+    if (!m_result.failure) {
+        m_result.failure = base::error{kind, std::move(detail)};
+    }
+    m_connection.close();
+}
+
+auto upstream_exchange::failRead(const std::string &detail) -> void
+{
+    if (m_expired) {
+        const bool late = base::clock::now() >= m_request.deadline;
+        fail(late ? error_kind::DeadlineAfterStart : error_kind::UpstreamTimeout, detail);
+        return;
+    }
+    m_result.lostBeforeAnswer = !m_gotBytes;
+    fail(m_result.answerStarted ? error_kind::UpstreamTruncated : error_kind::UpstreamFailed,
+         detail);
+}
+
+auto upstream_exchange::sendHead() -> asio::awaitable<bool>
+{
+    const auto bytes = formatUpstreamRequest(m_request, base::clock::now());
+    const auto [error, count] =
+            co_await asio::async_write(m_connection.socket, asio::buffer(bytes), WITH_ERROR);
+    m_result.nothingSent = count == 0;
+    if (error && count == 0) {
+        failRead(error.message());
+        co_return false;
+    }
+    // After a partial write the upstream may still have sent an answer, so that is read.
+    co_return true;
+}
+
+auto upstream_exchange::sendBody() -> asio::awaitable<void>
+{
+    for (bool open = true; open;) {
+        m_result.sourceUsed = true;
+        auto part = co_await m_source.read();
+        if (!part) {
+            // After a complete answer the rest of the body is not wanted any more.
+            if (!m_joining) {
+                fail(part.error().kind, part.error().detail);
+            }
+            break;
+        }
+        const bool last = part->empty();
+        open = co_await sendPart(std::move(*part)) && !last;
+        m_bodySent = last && m_connection.socket.is_open();
+    }
+    m_bodyRunning = false;
+    m_bodyDone.notify();
+}
+
+auto upstream_exchange::sendPart(std::string part) -> asio::awaitable<bool>
+{
+    const bool chunked = !m_request.contentLength;
+    if (part.empty() && !chunked) {
+        co_return true;
+    }
+    std::string framed;
+    if (chunked) {
+        framed = part.empty() ? "0\r\n\r\n" : asChunk(part);
+    } else {
+        framed = std::move(part);
+    }
+    const auto [error, count] =
+            co_await asio::async_write(m_connection.socket, asio::buffer(framed), WITH_ERROR);
+    co_return !error;
+}
+
+auto upstream_exchange::joinBody() -> asio::awaitable<void>
+{
+    if (!m_bodyRunning) {
+        co_return;
+    }
+    m_joining = true;
+    m_source.stop();
+    m_connection.close();
+    while (m_bodyRunning) {
+        co_await m_bodyDone.wait();
+    }
+}
+
+auto upstream_exchange::resetParser() -> void
+{
+    m_parser.emplace();
+    m_parser->header_limit(MAX_ANSWER_HEADER_BYTES);
+    m_parser->body_limit(boost::none);
+    m_parser->skip(m_request.method == "HEAD");
+}
+
+// Reads more bytes; false after a failure or, with `m_sawEnd` set, at the end of the connection.
+auto upstream_exchange::fill() -> asio::awaitable<bool>
+{
+    const auto space = m_connection.buffer.prepare(READ_BYTES);
+    const auto [error, count] = co_await m_connection.socket.async_read_some(space, WITH_ERROR);
+    m_connection.buffer.commit(count);
+    m_gotBytes = m_gotBytes || count > 0;
+    if (!error) {
+        co_return true;
+    }
+    m_sawEnd = error == asio::error::eof && m_connection.socket.is_open();
+    if (!m_sawEnd || !m_parser->is_header_done()) {
+        failRead(error.message());
+    }
+    co_return false;
+}
+
+auto upstream_exchange::readHead() -> asio::awaitable<bool>
+{
+    resetParser();
+    while (true) {
+        boost::system::error_code error;
+        const auto count = m_parser->put(m_connection.buffer.data(), error);
+        m_connection.buffer.consume(count);
+        if (error && error != http::error::need_more) {
+            failRead(error.message());
+            co_return false;
+        }
+        if (!m_parser->is_header_done()) {
+            if (!co_await fill()) {
+                co_return false;
+            }
+            continue;
+        }
+        const auto status = m_parser->get().result_int();
+        if (status >= 200) {
+            co_return true;
+        }
+        if (status == 101) {
+            failRead("the upstream switched protocols without being asked");
+            co_return false;
+        }
+        resetParser();
+    }
+}
+
+auto upstream_exchange::acceptsFraming() -> bool
+{
+    const auto &fields = m_parser->get();
+    const auto coding = fields.find(http::field::transfer_encoding);
+    if (coding == fields.end()) {
+        return true;
+    }
+    const auto value = coding->value();
+    return equalIgnoreCase({value.data(), value.size()}, "chunked");
+}
+
+auto upstream_exchange::readAnswer() -> asio::awaitable<void>
+{
+    if (!co_await readHead()) {
+        co_return;
+    }
+    m_result.headTime = base::clock::now();
+    m_result.status = m_parser->get().result_int();
+    if (!acceptsFraming()) {
+        failRead("the upstream used a transfer coding other than chunked");
+        co_return;
+    }
+    std::string first;
+    if (!m_parser->is_done() && m_connection.buffer.size() > 0) {
+        auto part = co_await readPart();
+        if (!part) {
+            co_return;
+        }
+        first = std::move(*part);
+    }
+    if (!co_await forwardStart(std::move(first))) {
+        co_return;
+    }
+    while (!m_parser->is_done()) {
+        limitTime(base::clock::now() + m_timeout);
+        auto part = co_await readPart();
+        if (!part) {
+            co_return;
+        }
+        // While the receiver is slow, only the deadline counts, not the upstream's timeout.
+        limitTime(m_request.deadline);
+        if (part->empty()) {
+            continue;
+        }
+        const auto taken = co_await m_sink.data(std::move(*part));
+        if (!taken) {
+            fail(taken.error().kind, taken.error().detail);
+            co_return;
+        }
+    }
+}
+
+auto upstream_exchange::readPart() -> asio::awaitable<std::optional<std::string>>
+{
+    std::string part(READ_BYTES, '\0');
+    auto &body = m_parser->get().body();
+    body.data = part.data();
+    body.size = part.size();
+    body.more = true;
+    while (true) {
+        boost::system::error_code error;
+        const auto count = m_parser->put(m_connection.buffer.data(), error);
+        m_connection.buffer.consume(count);
+        if (error == http::error::need_buffer || error == http::error::need_more) {
+            error = {};
+        }
+        if (error) {
+            failRead(error.message());
+            co_return std::nullopt;
+        }
+        const auto used = part.size() - body.size;
+        const bool stuck = count == 0 || m_connection.buffer.size() == 0;
+        if (m_parser->is_done() || body.size == 0 || (used > 0 && stuck)) {
+            part.resize(used);
+            co_return part;
+        }
+        if (stuck && !co_await fill()) {
+            if (m_sawEnd) {
+                m_parser->put_eof(error);
+            }
+            if (m_result.failure || error) {
+                failRead("the answer ended early");
+                co_return std::nullopt;
+            }
+        }
+    }
+}
+
+auto upstream_exchange::makeStart(std::string body) -> answer_start
+{
+    const auto &fields = m_parser->get();
+    std::vector<std::string_view> options;
+    for (const auto &field : fields) {
+        if (field.name() == http::field::connection) {
+            const auto listed = splitList({field.value().data(), field.value().size()});
+            options.insert(options.end(), listed.begin(), listed.end());
+        }
+    }
+    answer_start start;
+    start.status = m_result.status;
+    for (const auto &field : fields) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        if (!isHopByHop(name, options) && !startsWithIgnoreCase(name, "X-Hawthornpick-")) {
+            appendHeader(start.headers, name, {field.value().data(), field.value().size()});
+        }
+    }
+    if (const auto length = m_parser->content_length()) {
+        start.contentLength = *length;
+    }
+    start.body = std::move(body);
+    start.bodyComplete = m_parser->is_done();
+    return start;
+}
+
+auto upstream_exchange::forwardStart(std::string body) -> asio::awaitable<bool>
+{
+    m_result.answerStarted = true;
+    limitTime(m_request.deadline);
+    const auto taken = co_await m_sink.start(makeStart(std::move(body)));
+    if (!taken) {
+        fail(taken.error().kind, taken.error().detail);
+        co_return false;
+    }
+    co_return true;
+}
+
+} // namespace hawthornpick::upstream
