--- a/src/policy/idl/policywire.thrift
+++ b/src/policy/idl/policywire.thrift
@@ -50,5 +50,6 @@
   2: string upstream
   3: list<i64> fingerprints
   4: i64 report
-  5: bool cleared
+  5: string cleared_node
+  6: i64 cleared_report
 }
