Add replicated idempotency records

A request with an Idempotency-Key must run at most once whatever entry node is used and whichever replicas restart. Each record is a register with ballots at the fixed replicas of the home region. Promises carry incarnations, so a vote that a restarted replica has forgotten isn't counted. A repeat fences the claimed attempt only while the executing node still remembers it; a test found that a later fence would answer 'not started' about an attempt that ran.

--- a/src/atmostonce/idl/atmostoncewire.thrift
+++ b/src/atmostonce/idl/atmostoncewire.thrift
@@ -46,4 +46,6 @@
   8: optional list<copied_record> page
   9: optional bool last_page
   10: optional i64 sender_incarnation
+  // Region whose replicas the message is for; a node may be a replica of several.
+  11: optional string region
 }
--- /dev/null
+++ b/src/atmostonce/internal/atmostoncemodule.cpp
@@ -0,0 +1,92 @@
+#include "atmostonce/atmostoncemodule.h"
+
+#include "atmostonce/internal/wireformat.h"
+#include "base/thriftcodec.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace hawthornpick::atmostonce {
+
+namespace {
+
+auto append(messages &target, messages more) -> void
+{
+    target.insert(target.end(), std::make_move_iterator(more.begin()),
+                  std::make_move_iterator(more.end()));
+}
+
+auto isForReplica(message_kind kind) -> bool
+{
+    switch (kind) {
+    case message_kind::Prepare:
+    case message_kind::Accept:
+    case message_kind::Fetch:
+    case message_kind::CopyRequest:
+    case message_kind::CopyPage:
+    case message_kind::Recovering:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace
+
+atmostonce_module::atmostonce_module(const atmostonce_dependencies &dependencies)
+    : m_attempts(dependencies.incarnation), m_fences(dependencies.post), m_fenceServer(m_attempts),
+      m_records(dependencies.replicas, m_fences, dependencies.random, dependencies.post)
+{
+    for (const auto &[region, nodes] : dependencies.replicas) {
+        if (std::find(nodes.begin(), nodes.end(), dependencies.node) == nodes.end()) {
+            continue;
+        }
+        replica_settings settings;
+        settings.node = dependencies.node;
+        settings.region = region;
+        settings.incarnation = dependencies.incarnation;
+        settings.replicas = nodes;
+        m_replicas.try_emplace(region, std::move(settings));
+    }
+}
+
+auto atmostonce_module::receiveFence(const base::node_id &from, std::string_view payload,
+                                     base::time_point now) -> messages
+{
+    auto out = m_fences.receive(from, payload, now);
+    append(out, m_fenceServer.receive(from, payload));
+    return out;
+}
+
+auto atmostonce_module::receiveIdempotency(const base::node_id &from, std::string_view payload,
+                                           base::time_point now) -> messages
+{
+    const auto message = base::decodeThrift<wire::idempotency_message>(payload);
+    if (!message) {
+        return {};
+    }
+    if (!isForReplica(kindOf(*message))) {
+        return m_records.receive(from, payload, now);
+    }
+    const auto replica = m_replicas.find(base::region_id(message->region));
+    return replica == m_replicas.end() ? messages{} : replica->second.receive(from, payload, now);
+}
+
+auto atmostonce_module::tick(base::time_point now) -> messages
+{
+    m_attempts.tick(now);
+    auto out = m_fences.tick(now);
+    append(out, m_records.tick(now));
+    for (auto &[region, replica] : m_replicas) {
+        append(out, replica.tick(now));
+    }
+    return out;
+}
+
+auto atmostonce_module::recovering() const -> bool
+{
+    return std::any_of(m_replicas.begin(), m_replicas.end(),
+                       [](const auto &each) { return each.second.recovering(); });
+}
+
+} // namespace hawthornpick::atmostonce
--- a/src/limits/internal/tokenbucket.cpp
+++ b/src/limits/internal/tokenbucket.cpp
@@ -15,6 +15,9 @@
 
 auto token_bucket::setTerms(double rate, double burst, base::time_point now) -> void
 {
+    // A process that was paused learns of a lower rate late; the time since the last refill then
+    // belongs to the new rate.
+    m_rate = std::min(m_rate, rate);
     refill(now);
     m_rate = rate;
     m_burst = burst;
--- a/src/limits/internal/tokenbucket.h
+++ b/src/limits/internal/tokenbucket.h
@@ -28,7 +28,7 @@
         : m_level(level), m_rate(rate), m_burst(burst), m_filledAt(now)
     {}
 
-    //! Sets rate (tokens per second) and burst after refilling with the old ones.
+    //! Sets rate (tokens per second) and burst after refilling with the lower of both rates.
     auto setTerms(double rate, double burst, base::time_point now) -> void;
 
     //! Adds what has accrued and forgets grants that ended.
