--- a/src/limits/tests/limitsfleet.h
+++ b/src/limits/tests/limitsfleet.h
@@ -4,7 +4,6 @@
 #include "limits/limitsmodule.h"
 #include "tests/support/virtualnetwork.h"
 
-#include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <map>
 #include <memory>
--- a/src/limits/tests/limitstest.cpp
+++ b/src/limits/tests/limitstest.cpp
@@ -1,5 +1,6 @@
 #include "limits/tests/limitsfleet.h"
 
+#include <CppUTest/TestHarness.h>
 #include <cstdlib>
 
 using namespace hawthornpick;
--- a/src/limits/tests/sharetest.cpp
+++ b/src/limits/tests/sharetest.cpp
@@ -1,5 +1,7 @@
 #include "limits/tests/limitsfleet.h"
 
+#include <CppUTest/TestHarness.h>
+
 using namespace hawthornpick;
 using namespace hawthornpick::limits;
 using namespace hawthornpick::limits::testing;
