--- a/src/limits/internal/allocatorshares.cpp
+++ b/src/limits/internal/allocatorshares.cpp
@@ -16,8 +16,9 @@
 constexpr base::duration RECENT_TIME = std::chrono::seconds(5);
 // Head room over the measured demand that a region keeps for itself.
 constexpr double HEAD_ROOM = 1.3;
-// Below this burst a share can't be divided in a useful way and goes to one region.
-constexpr double DIVISIBLE_BURST = 2.0;
+// Below this burst a share is not divided by demand; it goes whole to the region with requests
+// waiting. Measured with 1, 2 and 6: docs/measurements/limits.txt.
+constexpr double DIVISIBLE_BURST = 6.0;
 
 auto toParts(double part) -> std::int64_t
 {
