Vary the load in the randomized rate test

With a constant overload the buckets were never full, so the test did not find a trial change that let tokens on grant exceed the burst.

--- a/src/limits/tests/limitstest.cpp
+++ b/src/limits/tests/limitstest.cpp
@@ -1,6 +1,7 @@
 #include "limits/tests/limitsfleet.h"
 
 #include <CppUTest/TestHarness.h>
+#include <array>
 #include <cstdlib>
 
 using namespace hawthornpick;
@@ -64,8 +65,13 @@
         if (random.chance(0.02)) {
             m_focus = random.below(m_fleet.nodes().size() + 1);
         }
+        if (random.chance(0.05)) {
+            // Quiet times fill the buckets, busy ones leave unused tokens on grant.
+            constexpr std::array<std::uint64_t, 4> LOADS{1, 4, 12, 80};
+            m_load = LOADS.at(random.below(LOADS.size()));
+        }
         const auto names = {"one", "small", "middle", "large"};
-        const auto count = random.below(12);
+        const auto count = random.below(m_load);
         for (std::uint64_t i = 0; i < count; ++i) {
             const auto index = random.chance(0.5) && m_focus < m_fleet.nodes().size()
                                        ? m_focus
@@ -226,6 +232,7 @@
     std::map<std::string, window_check> m_checks;
     std::map<const limits_module *, int> m_open;
     std::size_t m_focus = 0;
+    std::uint64_t m_load = 12;
     int m_asked = 0;
     int m_answered = 0;
     int m_admitted = 0;
