--- a/src/atmostonce/tests/idempotencytest.cpp
+++ b/src/atmostonce/tests/idempotencytest.cpp
@@ -1,4 +1,6 @@
+#include "atmostonce/internal/recordoperation.h"
 #include "atmostonce/tests/idempotencyfleet.h"
+#include "base/thriftcodec.h"
 
 #include <CppUTest/TestHarness.h>
 #include <cstdlib>
@@ -38,11 +40,14 @@
     auto run() -> void
     {
         for (int i = 0; i < 250; ++i) {
-            m_fleet.network().run(m_fleet.random().below(400) * 1ms, [this] { check(); });
-            if (m_fleet.random().chance(0.2)) {
+            m_fleet.network().run(m_fleet.random().below(250) * 1ms, [this] { check(); });
+            if (m_fleet.random().chance(0.4)) {
                 fault();
             }
-            claim(m_fleet.nodes()[m_fleet.random().below(8)], std::to_string(i / 12));
+            // New keys with competing claims, so that restarts fall into open ballots.
+            for (std::uint64_t n = m_fleet.random().below(4); n > 0; --n) {
+                claim(m_fleet.nodes()[m_fleet.random().below(8)], std::to_string(i / 4));
+            }
         }
         heal();
         m_fleet.network().run(15s, [this] { check(); });
@@ -342,3 +347,38 @@
     CHECK(std::holds_alternative<claim_in_progress>(results.at(2)));
     CHECK_EQUAL(1U, replica.size());
 }
+
+// Guards against a vote that its replica has forgotten: node a votes and restarts, and the vote of
+// node b, which comes after b served a's copy, shows that.
+TEST(idempotency_test, voteOfAnEarlierIncarnationDoesNotCount)
+{
+    const std::vector<base::node_id> nodes{base::node_id("a"), base::node_id("b"),
+                                           base::node_id("c"), base::node_id("d"),
+                                           base::node_id("e")};
+    const base::time_point now{1h};
+    std::optional<operation_end> ended;
+    record_operation operation(
+            "k", "r", nodes, [](const auto &) { return std::optional(wire::record{}); },
+            [&ended](operation_end end, const auto &) { ended = end; }, now + 1s, 7,
+            base::random_source(1));
+    const auto started = operation.start(now);
+    auto reply = base::decodeThrift<wire::idempotency_message>(started.at(0).payload).value();
+    const auto send = [&](message_kind kind, std::size_t from, std::int64_t incarnationOfA) {
+        reply.kind = static_cast<std::int8_t>(kind);
+        reply.__set_incarnations({{"a", incarnationOfA}, {"b", 1}, {"c", 1}, {"d", 1}, {"e", 1}});
+        operation.receive(nodes[from], reply, now);
+    };
+    for (std::size_t i = 0; i < 3; ++i) {
+        send(message_kind::Promise, i, 1);
+    }
+    send(message_kind::Accepted, 0, 1);
+    send(message_kind::Accepted, 1, 2);
+    send(message_kind::Accepted, 2, 1);
+    CHECK_FALSE(ended.has_value());
+    // The new incarnation of a did not promise this ballot to the client.
+    send(message_kind::Accepted, 0, 2);
+    CHECK_FALSE(ended.has_value());
+    send(message_kind::Promise, 3, 2);
+    send(message_kind::Accepted, 3, 2);
+    CHECK(ended == operation_end::Stored);
+}
