--- a/src/peer/tests/linkfaulttest.cpp
+++ b/src/peer/tests/linkfaulttest.cpp
@@ -3,6 +3,7 @@
 #include "peer/generated/peerwire_types.h"
 #include "peer/internal/connection.h"
 #include "peer/internal/frame.h"
+#include "peer/internal/handshake.h"
 #include "peer/tests/linkfixture.h"
 #include "peer/tests/tcpproxy.h"
 
@@ -65,8 +66,121 @@
     return bytes + payload;
 }
 
+//! Reads one frame of a raw connection.
+auto readRawFrame(asio::ip::tcp::socket &socket, asio::io_context &context) -> std::string
+{
+    std::string bytes;
+    bool isComplete = false;
+    asio::async_read(
+            socket, asio::dynamic_buffer(bytes),
+            [&bytes](const boost::system::error_code &, std::size_t count) -> std::size_t {
+                if (count < FRAME_HEADER_BYTES) {
+                    return FRAME_HEADER_BYTES - count;
+                }
+                return FRAME_HEADER_BYTES + readNumber32(bytes) - count;
+            },
+            [&](const boost::system::error_code &, std::size_t) { isComplete = true; });
+    CHECK_TRUE(runUntil(context, [&] { return isComplete; }));
+    return bytes.substr(FRAME_HEADER_BYTES);
+}
+
+auto appendFrame(std::string &out, frame_type type, std::uint64_t stream, std::string_view payload)
+        -> void
+{
+    appendFrameHeader(out, type, stream, payload.size());
+    out.append(payload);
+}
+
+//! Opens a raw connection that has proved the secret, as a faulty peer would.
+auto connectRaw(asio::io_context &context, test_peer &server) -> asio::ip::tcp::socket
+{
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::address_v4::loopback(), server.address().port});
+    const link_identity identity{base::node_id("raw"), 1, "fleet secret", ""};
+    handshake exchange(handshake::side::Connecting, identity);
+    std::string hello;
+    appendFrame(hello, frame_type::Hello, 0, exchange.hello());
+    asio::write(socket, asio::buffer(hello));
+    const auto proof = exchange.finish(readRawFrame(socket, context));
+    CHECK_TRUE(proof.has_value());
+    std::string bytes;
+    appendFrame(bytes, frame_type::Proof, 0, *proof);
+    asio::write(socket, asio::buffer(bytes));
+    return socket;
+}
+
+auto randomFrames(base::random_source &random) -> std::string
+{
+    std::string bytes;
+    for (std::uint64_t i = 1 + random.below(40); i > 0; --i) {
+        const auto type = static_cast<frame_type>(3 + random.below(8));
+        const auto size =
+                random.chance(0.2) ? random.below(MAX_FRAME_PAYLOAD_BYTES) : random.below(8);
+        appendFrame(bytes, type, random.below(6),
+                    std::string(size, static_cast<char>(random.below(4))));
+    }
+    return bytes;
+}
+
 } // namespace
 
+// Guards against a peer with a fault or of a newer build that sends frames out of order, with wrong
+// sizes or over the window: its link may be closed, other links go on.
+TEST(link_fault_test, wrongFramesOfAProvedPeerDoNotDisturbOtherLinks)
+{
+    const auto seed = base::systemSeed();
+    std::printf("seed %llu\n", static_cast<unsigned long long>(seed));
+    base::random_source random(seed);
+    test_peer server(context, "server", 1);
+    test_peer client(context, "client", 1);
+    echoOn(server);
+    for (int round = 0; round < 100; ++round) {
+        auto socket = connectRaw(context, server);
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(randomFrames(random)), ignored);
+    }
+    std::string overWindow;
+    appendFrame(overWindow, frame_type::Head, 1, "head");
+    for (std::size_t sent = 0; sent <= STREAM_WINDOW_BYTES; sent += MAX_FRAME_PAYLOAD_BYTES) {
+        appendFrame(overWindow, frame_type::Data, 1, std::string(MAX_FRAME_PAYLOAD_BYTES, 'd'));
+    }
+    server.onStream = nullptr;
+    auto greedy = connectRaw(context, server);
+    boost::system::error_code ignored;
+    asio::write(greedy, asio::buffer(overWindow), ignored);
+    CHECK_TRUE(runUntil(context, [&] { return server.pool().linkCount() == 0; }));
+    echoOn(server);
+    auto opened = openAt(client, server.address().port);
+    CHECK_TRUE(opened.has_value());
+    CHECK_TRUE(await(context, (*opened)->sendHead("head")).has_value());
+    CHECK_TRUE(await(context, (*opened)->receive()).has_value());
+}
+
+// Guards against links that stay open without use, and against a stream lost because the accepting
+// side closes first.
+TEST(link_fault_test, idleLinkIsClosedByTheConnectingSideOnly)
+{
+    test_peer server(context, "server", 1);
+    const link_identity identity{base::node_id("client"), 1, "fleet secret", ""};
+    int closed = 0;
+    const connection_events events{[](stream_pointer) {},
+                                   [](const base::node_id &, base::channel, std::string) {},
+                                   [&closed](const std::shared_ptr<connection> &) { ++closed; },
+                                   [] {
+                                       return false;
+                                   }};
+    asio::ip::tcp::socket socket(context);
+    socket.connect({asio::ip::address_v4::loopback(), server.address().port});
+    const auto link = std::make_shared<connection>(std::move(socket), identity, false, events);
+    CHECK_TRUE(await(context, link->handshakeAsConnecting()).has_value());
+    link->maintain(base::clock::now() + IDLE_TIME - PING_INTERVAL, false);
+    CHECK_TRUE(link->isOpen());
+    link->maintain(base::clock::now() + IDLE_TIME, false);
+    CHECK_FALSE(link->isOpen());
+    CHECK_EQUAL(1, closed);
+    CHECK_TRUE(ACCEPTED_IDLE_TIME > IDLE_TIME + DEAD_LINK_TIME);
+}
+
 // Guards against a link with a process that speaks another protocol or none, and against one that
 // never finishes its handshake.
 TEST(link_fault_test, connectionsWithoutAValidHandshakeAreClosed)
