--- a/src/policy/internal/retrybudget.cpp
+++ b/src/policy/internal/retrybudget.cpp
@@ -12,23 +12,38 @@
 
 } // namespace
 
-auto retry_budget::onFirstAttempt() -> void
+retry_budget::retry_budget(std::uint32_t retryPercent) : m_retryPercent(retryPercent)
 {
-    auto balance = m_balance.load();
+    for (auto &balance : m_balances) {
+        balance.store(LARGEST_BALANCE);
+    }
+}
+
+auto retry_budget::balanceOf(const base::organisation_id &organisation)
+        -> std::atomic<std::int64_t> &
+{
+    return m_balances.at(std::hash<base::organisation_id>{}(organisation) % m_balances.size());
+}
+
+auto retry_budget::onFirstAttempt(const base::organisation_id &organisation) -> void
+{
+    auto &stored = balanceOf(organisation);
+    auto balance = stored.load();
     std::int64_t next = 0;
     do {
         next = std::min<std::int64_t>(balance + m_retryPercent.load(), LARGEST_BALANCE);
-    } while (!m_balance.compare_exchange_weak(balance, next));
+    } while (!stored.compare_exchange_weak(balance, next));
 }
 
-auto retry_budget::tryRetry() -> bool
+auto retry_budget::tryRetry(const base::organisation_id &organisation) -> bool
 {
-    auto balance = m_balance.load();
+    auto &stored = balanceOf(organisation);
+    auto balance = stored.load();
     do {
         if (balance < RETRY_COST) {
             return false;
         }
-    } while (!m_balance.compare_exchange_weak(balance, balance - RETRY_COST));
+    } while (!stored.compare_exchange_weak(balance, balance - RETRY_COST));
     return true;
 }
 
--- a/src/policy/internal/selector.cpp
+++ b/src/policy/internal/selector.cpp
@@ -98,14 +98,17 @@
 }
 
 auto selector::onRefusal(const base::service_id &service, const base::node_id &node,
-                         base::error_kind kind, base::time_point now) -> void
+                         const base::organisation_id &organisation, base::error_kind kind,
+                         base::time_point now) -> void
 {
     auto &state = stateOf(service);
     const std::lock_guard lock(state.mutex);
     if (auto *item = state.find(node)) {
         item->outstanding -= item->outstanding > 0 ? 1 : 0;
         item->sentSinceLoad -= item->sentSinceLoad > 0 ? 1 : 0;
-        item->avoidUntil = std::max(item->avoidUntil, now + pauseAfter(kind));
+        auto &until = kind == base::error_kind::QueueFull ? item->fullFor(organisation)
+                                                          : item->avoidUntil;
+        until = std::max(until, now + pauseAfter(kind));
     }
 }
 
--- a/src/policy/internal/selectorstate.cpp
+++ b/src/policy/internal/selectorstate.cpp
@@ -77,6 +77,16 @@
     }
 }
 
+auto selector::candidate::fullFor(const base::organisation_id &organisation) -> base::time_point &
+{
+    return fullUntil.at(std::hash<base::organisation_id>{}(organisation) % fullUntil.size());
+}
+
+auto selector::candidate::accepts(const selection_request &request, base::time_point now) -> bool
+{
+    return avoidUntil <= now && fullFor(request.organisation) <= now && !isExcluded(request, node);
+}
+
 auto selector::candidate::effectiveSlots(base::duration warmUp, base::time_point now) const
         -> double
 {
@@ -170,7 +180,7 @@
 {
     std::vector<candidate *> usable;
     for (auto &item : pool) {
-        if (!item.ready.empty() && item.avoidUntil <= now && !isExcluded(request, item.node)) {
+        if (!item.ready.empty() && item.accepts(request, now)) {
             usable.push_back(&item);
         }
     }
@@ -192,8 +202,7 @@
                                         base::time_point now) -> candidate *
 {
     auto *item = find(self);
-    if (item == nullptr || item->ready.empty() || item->avoidUntil > now
-        || isExcluded(request, self)) {
+    if (item == nullptr || item->ready.empty() || !item->accepts(request, now)) {
         return nullptr;
     }
     const double slots = item->effectiveSlots(request.warmUp, now);
@@ -208,7 +217,7 @@
     }
     std::vector<candidate *> ejected;
     for (auto &item : own) {
-        if (item.ejectedSlots > 0 && item.avoidUntil <= now && !isExcluded(request, item.node)) {
+        if (item.ejectedSlots > 0 && item.accepts(request, now)) {
             ejected.push_back(&item);
         }
     }
--- a/src/policy/internal/selectorstate.h
+++ b/src/policy/internal/selectorstate.h
@@ -2,6 +2,7 @@
 
 #include "policy/selector.h"
 
+#include <array>
 #include <optional>
 
 namespace hawthornpick::policy {
@@ -26,6 +27,14 @@
     std::uint32_t outstanding = 0;
     std::uint32_t sentSinceLoad = 0;
     base::time_point avoidUntil{};
+    //! As above for organisations with full queues, by hash.
+    std::array<base::time_point, 16> fullUntil{};
+
+    //! Time until which the node is left alone after a full queue.
+    auto fullFor(const base::organisation_id &organisation) -> base::time_point &;
+
+    //! True if the request may be sent here now.
+    auto accepts(const selection_request &request, base::time_point now) -> bool;
 
     //! Takes the state of the node's upstreams from a view. Upstreams that were not ready before
     //! warm up from `newSince`.
--- a/src/policy/selector.h
+++ b/src/policy/selector.h
@@ -38,6 +38,7 @@
 struct selection_request
 {
     base::service_id service;
+    base::organisation_id organisation;
     //! Time over which new and returning upstreams of the service reach their full share.
     base::milliseconds warmUp{5000};
     bool idempotent = false;
@@ -85,10 +86,12 @@
     auto onAnswer(const base::service_id &service, const base::node_id &node,
                   const service_load &load, base::time_point now) -> void;
 
-    //! The chosen node refused before start or gave no answer. After `QueueFull` and after
-    //! `UpstreamEjected` the node is left alone for a short time.
+    //! The chosen node refused before start or gave no answer, and is left alone for a short time.
+    //! After `QueueFull` this holds for the organisation only: a queue that is full for one that
+    //! floods it has room for others.
     auto onRefusal(const base::service_id &service, const base::node_id &node,
-                   base::error_kind kind, base::time_point now) -> void;
+                   const base::organisation_id &organisation, base::error_kind kind,
+                   base::time_point now) -> void;
 
     //! Charges bytes that crossed the link between regions beyond the expected ones.
     auto chargeRegionLink(std::uint64_t bytes, base::time_point now) -> void;
--- a/src/policy/tests/retrybudgettest.cpp
+++ b/src/policy/tests/retrybudgettest.cpp
@@ -5,6 +5,12 @@
 using namespace hawthornpick;
 using namespace hawthornpick::policy;
 
+namespace {
+
+const base::organisation_id ORGANISATION("large");
+
+} // namespace
+
 TEST_GROUP(retry_budget){};
 
 // Guards against retries that multiply an overload.
@@ -13,9 +19,9 @@
     retry_budget budget(20);
     int retries = 0;
     for (int i = 0; i < 1000; ++i) {
-        budget.onFirstAttempt();
-        retries += budget.tryRetry() ? 1 : 0;
-        retries += budget.tryRetry() ? 1 : 0;
+        budget.onFirstAttempt(ORGANISATION);
+        retries += budget.tryRetry(ORGANISATION) ? 1 : 0;
+        retries += budget.tryRetry(ORGANISATION) ? 1 : 0;
     }
     CHECK(retries <= 1000 * 20 / 100 + 10);
     CHECK(retries >= 1000 * 20 / 100);
@@ -26,15 +32,24 @@
 {
     retry_budget budget(100);
     for (int i = 0; i < 1000; ++i) {
-        budget.onFirstAttempt();
+        budget.onFirstAttempt(ORGANISATION);
     }
     int retries = 0;
-    while (budget.tryRetry()) {
+    while (budget.tryRetry(ORGANISATION)) {
         ++retries;
     }
     CHECK_EQUAL(10, retries);
 }
 
+// Guards against one refused organisation that uses up the retries of the others.
+TEST(retry_budget, organisationsAreBudgetedApart)
+{
+    retry_budget budget(20);
+    while (budget.tryRetry(ORGANISATION)) {
+    }
+    CHECK(budget.tryRetry(base::organisation_id("small")));
+}
+
 // Guards against retries in step and against delays that use up the deadline.
 TEST(retry_budget, delayIsRandomAndBounded)
 {
--- a/src/policy/tests/selectortest.cpp
+++ b/src/policy/tests/selectortest.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const base::service_id SERVICE("cocina");
+const base::organisation_id ORGANISATION("large");
 
 auto nodeOf(const std::string &name, const std::string &region, std::uint32_t slots = 5)
         -> membership::node_entry
@@ -34,7 +35,7 @@
     std::uint64_t version = 0;
     std::unique_ptr<membership::view> view;
     base::time_point now{1h};
-    selection_request request{SERVICE, 5000ms, true, 100, {}};
+    selection_request request{SERVICE, ORGANISATION, 5000ms, true, 100, {}};
 
     void setup() override
     {
@@ -113,16 +114,32 @@
     const std::vector<base::node_id> tried{base::node_id("n1"), base::node_id("n2")};
     request.excluded = tried;
     chooser.choose(*view, request, now).value();
-    chooser.onRefusal(SERVICE, base::node_id("n3"), base::error_kind::QueueFull, now);
+    chooser.onRefusal(SERVICE, base::node_id("n3"), ORGANISATION, base::error_kind::QueueFull, now);
     for (int i = 0; i < 20; ++i) {
         CHECK_EQUAL(std::string("n4"), choose().value().node->id.str());
     }
-    chooser.onRefusal(SERVICE, base::node_id("n4"), base::error_kind::QueueFull, now);
+    chooser.onRefusal(SERVICE, base::node_id("n4"), ORGANISATION, base::error_kind::QueueFull, now);
     CHECK(choose().error().kind == base::error_kind::QueueFull);
     now += 100ms;
     CHECK(choose().has_value());
 }
 
+// Guards against refusals of all organisations because the queues are full for one that floods
+// them.
+TEST(selector, fullQueueOfOneOrganisationIsOpenToOthers)
+{
+    for (const auto &node : nodes) {
+        chooser.onRefusal(SERVICE, node.id, ORGANISATION, base::error_kind::QueueFull, now);
+    }
+    (void)choose();
+    for (const auto &node : nodes) {
+        chooser.onRefusal(SERVICE, node.id, ORGANISATION, base::error_kind::QueueFull, now);
+    }
+    CHECK(choose().error().kind == base::error_kind::QueueFull);
+    request.organisation = base::organisation_id("small");
+    CHECK(choose().has_value());
+}
+
 // Guards against lost capacity of a region that leads to refusals, and against a bill for the link
 // above the budget.
 TEST(selector, spillsWithinTheByteBudget)
