Let the evidence of two organisations suffice for a verdict

The cap for one organisation was absolute, so that two failures of two organisations waited 500 ms as if they depended on one of them. The cap is now 0.6 of the threshold; an organisation is served well elsewhere only if under 15% of the upstreams that served it have failures.

--- a/src/policy/detectorparameters.h
+++ b/src/policy/detectorparameters.h
@@ -26,8 +26,9 @@
     base::duration hangGrace = std::chrono::milliseconds(400);
     //! Most evidence from one request in flight.
     double hangCap = 4.5;
-    //! Most evidence from one organisation that no other upstream is known to serve well.
-    double organisationCap = 4.0;
+    //! Most evidence from one organisation that no other upstream is known to serve well, as a part
+    //! of the threshold. Two organisations suffice for a verdict, one never does.
+    double organisationCap = 0.6;
     //! Time between complete evidence and the comparison with the peers that decides.
     base::duration confirmTime = std::chrono::milliseconds(150);
     //! As above when the evidence would not suffice without one organisation.
--- a/src/policy/internal/comparison.cpp
+++ b/src/policy/internal/comparison.cpp
@@ -17,6 +17,9 @@
 //! An organisation counts as failing elsewhere when it has failures on this share of the upstreams
 //! that have served it lately.
 constexpr double FAILING_UPSTREAM_SHARE = 0.25;
+//! It counts as served well if failures stay below this share, which allows for one or two other
+//! bad upstreams, and if two upstreams serve it.
+constexpr double SERVED_FAILING_SHARE = 0.15;
 constexpr std::size_t SERVING_UPSTREAMS = 2;
 constexpr double SMALLEST_TRACE = 0.2;
 
@@ -156,7 +159,8 @@
         const auto failing = static_cast<double>(trace.failing);
         if (failing >= 2 && failing > seen * FAILING_UPSTREAM_SHARE) {
             result.failingOrganisations[organisation] = trace.failures / trace.requests;
-        } else if (trace.serving >= std::min(SERVING_UPSTREAMS, others.size())) {
+        } else if (failing <= seen * SERVED_FAILING_SHARE
+                   && trace.serving >= std::min(SERVING_UPSTREAMS, others.size())) {
             result.servedOrganisations.insert(organisation);
         }
     }
--- a/src/policy/internal/detectorstate.cpp
+++ b/src/policy/internal/detectorstate.cpp
@@ -179,7 +179,7 @@
             const bool served = others.servedOrganisations.contains(organisation);
             const bool full =
                     rule == attribution::Ignore || (rule == attribution::CapUnserved && served);
-            total += full ? part : std::min(part, parameters.organisationCap);
+            total += full ? part : std::min(part, parameters.organisationCap * threshold(upstream));
         }
         return total;
     };
--- a/tests/measure/queuerun.h
+++ b/tests/measure/queuerun.h
@@ -103,6 +103,7 @@
             settings.region = node.region;
             m_selectors.push_back(std::make_unique<policy::selector>(settings, seed * 1000 + i));
             m_indexOf[node.id] = i;
+            m_next.push_back(m_random.below(size.upstreams));
         }
         m_view = std::make_unique<membership::view>(1, nodes);
         m_fifo.resize(size.upstreams);
@@ -193,7 +194,7 @@
 
     auto dispatch(const request_pointer &item) -> void
     {
-        std::size_t target = m_next++ % m_size.upstreams;
+        std::size_t target = m_next.at(item->entry)++ % m_size.upstreams;
         if (!m_plain) {
             policy::selection_request wanted;
             wanted.service = SERVICE;
@@ -306,7 +307,7 @@
     base::time_point m_lastExpire{};
     base::time_point m_end{};
     std::uint64_t m_order = 0;
-    std::size_t m_next = 0;
+    std::vector<std::size_t> m_next;
     std::priority_queue<event> m_events;
     std::unique_ptr<membership::view> m_view;
     std::map<base::node_id, std::size_t> m_indexOf;
