Judge by the comparison made after the peers' last answers

A verdict could rest on a comparison from before the answers that showed the organisation failing elsewhere.

--- a/src/policy/internal/comparison.cpp
+++ b/src/policy/internal/comparison.cpp
@@ -21,7 +21,10 @@
 //! bad upstreams, and if two upstreams serve it.
 constexpr double SERVED_FAILING_SHARE = 0.15;
 constexpr std::size_t SERVING_UPSTREAMS = 2;
-constexpr double SMALLEST_TRACE = 0.2;
+//! Weights decay with a time constant of 2 s. A failure counts for 3.2 s. A single success counts
+//! for 1 s only: an older one says nothing about an organisation that has begun to fail since.
+constexpr double FAILING_TRACE = 0.2;
+constexpr double SERVING_TRACE = 0.6;
 
 auto median(std::vector<double> values) -> std::optional<double>
 {
@@ -134,9 +137,9 @@
     for (const auto &item : others) {
         for (const auto &entry : item.organisations) {
             auto &trace = traces[base::organisation_id(entry.organisation)];
-            const bool fails = entry.failures >= SMALLEST_TRACE;
+            const bool fails = entry.failures >= FAILING_TRACE;
             trace.failing += fails ? 1 : 0;
-            trace.serving += entry.requests - entry.failures >= SMALLEST_TRACE ? 1 : 0;
+            trace.serving += entry.requests - entry.failures >= FAILING_TRACE ? 1 : 0;
             trace.requests += entry.requests;
             trace.failures += entry.failures;
         }
--- a/src/policy/internal/failuredetector.cpp
+++ b/src/policy/internal/failuredetector.cpp
@@ -120,6 +120,13 @@
     if (!m_state->hasFreshComparison(upstream, item->second, now)) {
         return {false, evidence};
     }
+    // The evidence above may rest on a comparison from before the last answers.
+    item->second.compared.reset();
+    const double confirmed =
+            m_state->evidence(upstream, item->second, attribution::CapUnserved, now);
+    if (confirmed < 1.0) {
+        return {false, confirmed};
+    }
     if (m_state->serviceDegrades(upstream, item->second, now)) {
         item->second.failures.reset();
         item->second.latencies.reset();
