Require a recent success to call an organisation served

A single success now counts for 1 s, so a small organisation's old successes no longer vouch for it when it begins to fail.

All 50 tests pass.

--- a/src/policy/internal/comparison.cpp
+++ b/src/policy/internal/comparison.cpp
@@ -139,7 +139,7 @@
             auto &trace = traces[base::organisation_id(entry.organisation)];
             const bool fails = entry.failures >= FAILING_TRACE;
             trace.failing += fails ? 1 : 0;
-            trace.serving += entry.requests - entry.failures >= FAILING_TRACE ? 1 : 0;
+            trace.serving += entry.requests - entry.failures >= SERVING_TRACE ? 1 : 0;
             trace.requests += entry.requests;
             trace.failures += entry.failures;
         }
