--- a/src/policy/internal/comparison.cpp
+++ b/src/policy/internal/comparison.cpp
@@ -17,8 +17,14 @@
 //! An organisation counts as failing elsewhere when it has failures on this share of the upstreams
 //! that have served it lately.
 constexpr double FAILING_UPSTREAM_SHARE = 0.25;
+//! It counts as served well if failures stay below this share, which allows for one or two other
+//! bad upstreams, and if two upstreams serve it.
+constexpr double SERVED_FAILING_SHARE = 0.15;
 constexpr std::size_t SERVING_UPSTREAMS = 2;
-constexpr double SMALLEST_TRACE = 0.2;
+//! Weights decay with a time constant of 2 s. A failure counts for 3.2 s. A single success counts
+//! for 1 s only: an older one says nothing about an organisation that has begun to fail since.
+constexpr double FAILING_TRACE = 0.2;
+constexpr double SERVING_TRACE = 0.6;
 
 auto median(std::vector<double> values) -> std::optional<double>
 {
@@ -131,9 +137,9 @@
     for (const auto &item : others) {
         for (const auto &entry : item.organisations) {
             auto &trace = traces[base::organisation_id(entry.organisation)];
-            const bool fails = entry.failures >= SMALLEST_TRACE;
+            const bool fails = entry.failures >= FAILING_TRACE;
             trace.failing += fails ? 1 : 0;
-            trace.serving += entry.requests - entry.failures >= SMALLEST_TRACE ? 1 : 0;
+            trace.serving += entry.requests - entry.failures >= SERVING_TRACE ? 1 : 0;
             trace.requests += entry.requests;
             trace.failures += entry.failures;
         }
@@ -156,7 +162,8 @@
         const auto failing = static_cast<double>(trace.failing);
         if (failing >= 2 && failing > seen * FAILING_UPSTREAM_SHARE) {
             result.failingOrganisations[organisation] = trace.failures / trace.requests;
-        } else if (trace.serving >= std::min(SERVING_UPSTREAMS, others.size())) {
+        } else if (failing <= seen * SERVED_FAILING_SHARE
+                   && trace.serving >= std::min(SERVING_UPSTREAMS, others.size())) {
             result.servedOrganisations.insert(organisation);
         }
     }
