--- a/src/control/tests/acceptancetest.cpp
+++ b/src/control/tests/acceptancetest.cpp
@@ -225,25 +225,27 @@
 // with its leader: the learner has a log then and is still no member (random seed 1254).
 TEST(acceptance_test, replicaThatHearsNoLeaderContactsTheControllers)
 {
+    fleet = std::make_unique<control_fleet>(
+            7, fleet_options{.nodesPerRegion = 8, .controllers = 5, .separateControllers = true});
+    runFor(6000);
     applyAndWait("first");
     const auto ids = fleet->controllerIds();
     const auto leader = fleet->leader();
     const auto learner = ids[0] == leader ? ids[1] : ids[0];
-    const auto third = ids[2] == leader ? ids[1] : ids[2];
     fleet->wipe(learner);
     fleet->start(learner);
     runFor(2000);
-    // The leader reaches only the learner, so its entry is not committed.
-    for (const auto &id : fleet->nodeIds()) {
-        fleet->network().cut(leader, id == learner ? id : third);
-        fleet->network().heal(leader, learner);
-    }
+    // The leader reaches only the learner, so its entry is not committed and another one leads.
+    fleet->isolate(leader);
+    fleet->network().heal(leader, learner);
+    fleet->network().heal(learner, leader);
     fleet->replace(leader, learner, learner, "repair");
-    runFor(1000);
-    fleet->crash(leader);
+    runFor(1500);
+    CHECK(fleet->node(learner).ownController()->log().role() == replica_role::Follower);
+    runFor(6000);
+    CHECK(fleet->hasLeader());
     fleet->network().healAll();
-    fleet->start(leader);
-    runFor(4000);
+    runFor(3000);
     for (int i = 0; i < 20 && !isInForce("repair"); ++i) {
         fleet->replace(B1, learner, learner, "repair");
         runFor(1000);
