--- /dev/null
+++ b/src/control/operatorentry.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "control/controlnode.h"
+
+namespace hawthornpick::control {
+
+//! Operators' requests from other threads than the control thread.
+//! Thread safety of all members: any thread; callbacks run on the control thread.
+class operator_entry
+{
+public:
+    //! Precondition: both outlive the entry.
+    operator_entry(peer::control_runtime &runtime, control_node &node)
+        : m_runtime(runtime), m_node(node)
+    {}
+
+    //! See `operator_client` for the answers. `done` is called exactly once while the runtime runs.
+    auto apply(change_request change, change_callback done) -> void;
+    auto changeResult(std::string changeId, change_callback done) -> void;
+    //! The status includes the history of accepted changes.
+    auto status(status_callback done) -> void;
+    auto replaceController(base::node_id oldNode, base::node_id newNode, std::string changeId,
+                           change_callback done) -> void;
+
+private:
+    peer::control_runtime &m_runtime;
+    control_node &m_node;
+};
+
+} // namespace hawthornpick::control
