Wire a node: control plane, health control, request path, shutdown

The modules were only reachable from their tests. Adds app/node with the control plane, the failure detection and ejection wiring, crash probes, rate, idempotency and suspect hooks, the peer acceptor and the shutdown sequence.

--- /dev/null
+++ b/src/app/internal/controlplane.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "app/internal/healthcontrol.h"
+#include "app/internal/iothreads.h"
+#include "atmostonce/atmostoncemodule.h"
+#include "base/metrics.h"
+#include "config/settings.h"
+#include "config/snapshot.h"
+#include "control/controlnode.h"
+#include "limits/limitsmodule.h"
+#include "membership/directory.h"
+#include "operators/fleetaccess.h"
+#include "peer/link.h"
+#include "peer/runtime.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hawthornpick::app {
+
+//! Control work of a node: builds its decision objects and runs them on one thread.
+class control_plane
+{
+public:
+    //! Throws boost::system::system_error if the peer address is in use, and std::runtime_error if
+    //! the data folder can't be used.
+    control_plane(const config::settings &settings, const peer::link_identity &identity,
+                  base::metrics &metrics);
+    ~control_plane();
+    control_plane(const control_plane &) = delete;
+    auto operator=(const control_plane &) -> control_plane & = delete;
+
+    //! Registers the receivers and ticks of `health`. Call before `start`.
+    //! Precondition: `health` outlives the run of the control thread.
+    auto attach(health_control &health) -> void;
+
+    //! Functions for `health_control`. Precondition: they are called on the control thread.
+    auto holdsLease(const std::string &name, base::time_point now) const -> bool;
+    auto wishLease(const std::string &name, bool wanted) -> void;
+
+    //! Starts the control thread.
+    auto start() -> void;
+
+    //! Stops the control thread. Thread safety: not on the control thread.
+    auto stop() -> void;
+
+    //! Delivers a control message that came over a link. Thread safety: any thread.
+    auto deliver(const base::node_id &from, base::channel kind, std::string payload) -> void;
+
+    //! Publishes the upstreams of this host. Thread safety: any thread.
+    auto publishUpstreams(std::vector<membership::upstream_entry> entries) -> void;
+
+    //! Announces that this node leaves. Thread safety: any thread.
+    auto leave() -> void;
+
+    //! Functions for the operator interface. Thread safety: any thread.
+    auto operatorAccess() -> operators::fleet_access;
+
+    //! Thread safety of the following: any thread; the objects state their own.
+    [[nodiscard]] auto configuration() const -> const config::snapshot_cell & { return m_config; }
+    [[nodiscard]] auto fleet() const -> const base::snapshot_cell<membership::view> &;
+    [[nodiscard]] auto isCurrent() const -> bool;
+    //! The io_context of the control thread.
+    [[nodiscard]] auto context() const -> boost::asio::io_context &
+    {
+        return *m_thread.contexts().front();
+    }
+    auto attempts() -> atmostonce::attempt_registry & { return m_outcomes.attempts(); }
+    auto fences() -> atmostonce::fence_client & { return m_outcomes.fences(); }
+    auto records() -> atmostonce::idempotency_client & { return m_outcomes.records(); }
+    auto tokens() -> limits::token_cache & { return m_limits.tokens(); }
+
+private:
+    auto createNode(base::incarnation incarnation) -> std::unique_ptr<control::control_node>;
+    auto outcomeDependencies(base::incarnation incarnation) -> atmostonce::atmostonce_dependencies;
+    auto limitsDependencies() -> limits::allocator_dependencies;
+    auto postFunction() -> limits::post_function;
+    auto registerReceivers() -> void;
+    auto resolve(const base::node_id &node) const -> std::optional<membership::endpoint>;
+    auto alivePeers() const -> std::vector<base::node_id>;
+
+    auto applyChange(operators::change_request request,
+                     std::function<void(operators::change_answer)> done) -> void;
+    auto readHistory(std::function<void(std::vector<operators::history_entry>)> done) -> void;
+    auto readStatus(std::function<void(operators::control_status)> done) -> void;
+    auto replaceController(const base::node_id &removed, const base::node_id &added,
+                           std::function<void(std::string)> done) -> void;
+
+    config::settings m_settings;
+    //! Addresses from the settings, for nodes that membership does not know yet.
+    std::map<base::node_id, membership::endpoint> m_fixedAddresses;
+    io_threads m_thread;
+    config::snapshot_cell m_config;
+    membership::directory m_directory;
+    peer::control_runtime m_runtime;
+    std::unique_ptr<control::control_node> m_node;
+    health_control *m_health = nullptr;
+    limits::limits_module m_limits;
+    atmostonce::atmostonce_module m_outcomes;
+};
+
+} // namespace hawthornpick::app
--- /dev/null
+++ b/src/app/internal/node.cpp
@@ -0,0 +1,263 @@
+#include "app/node.h"
+
+#include "app/internal/controlplane.h"
+#include "app/internal/iothreads.h"
+#include "app/internal/nodehooks.h"
+#include "app/internal/peeracceptor.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "caller/callerserver.h"
+#include "caller/wiring.h"
+#include "operators/operatorserver.h"
+#include "platform/platformserver.h"
+#include "upstream/upstreamservice.h"
+#include "upstream/wiring.h"
+
+#include <atomic>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+
+namespace hawthornpick::app {
+
+namespace {
+
+namespace asio = boost::asio;
+
+//! Time for the announcement that the node leaves to reach the others. New streams that arrive
+//! later are refused as not run and retried elsewhere.
+constexpr base::milliseconds LEAVE_NOTICE{500};
+constexpr base::milliseconds DRAIN_POLL_INTERVAL{20};
+
+// Rises at each restart as long as the host's clock does not go back by more than the time the
+// process ran. Message numbers that contain it allow 43 bits, so milliseconds are used.
+auto newIncarnation() -> base::incarnation
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<base::incarnation>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+auto identityOf(const config::settings &settings) -> peer::link_identity
+{
+    return {settings.node, newIncarnation(), settings.fleetSecret, settings.peerAddress.address};
+}
+
+} // namespace
+
+class node_state
+{
+public:
+    explicit node_state(const config::settings &settings)
+        : m_settings(settings), m_identity(identityOf(settings)), m_io(settings.ioThreads),
+          m_admin(1), m_control(settings, m_identity, m_metrics),
+          m_health(m_control.context(), healthDependencies()),
+          m_selector(selectorSettings(), base::systemSeed()),
+          m_upstreams(m_io.contexts(), settings.announceAddress, upstreamDependencies()),
+          m_links(createLinks()), m_acceptor(std::make_shared<peer_acceptor>(
+                                          m_io.contexts(), linkPointers(), settings.peerAddress)),
+          m_callers(m_io.contexts(), settings.callerAddress, callerDependencies()),
+          m_operators(*m_admin.contexts().front(), settings.operatorAddress, settings.operatorKey,
+                      m_control.operatorAccess()),
+          m_platform(*m_admin.contexts().front(), settings.platformAddress, m_metrics,
+                     [this] { return readiness(); })
+    {
+        m_health.setRegistry(m_upstreams.registry());
+        m_control.attach(m_health);
+    }
+
+    ~node_state()
+    {
+        m_admin.stop();
+        m_io.stop();
+        m_control.stop();
+    }
+
+    auto start() -> void
+    {
+        m_acceptor->start();
+        m_control.start();
+        m_io.start();
+        m_admin.start();
+    }
+
+    auto drain(std::function<void()> done) -> void
+    {
+        if (m_isDraining.exchange(true)) {
+            return;
+        }
+        m_control.leave();
+        m_callers.drain([this, done = std::move(done)] { drainUpstreams(done); });
+    }
+
+    auto openConnections() const -> std::size_t { return m_callers.connectionCount(); }
+
+private:
+    auto selectorSettings() const -> policy::selector_settings
+    {
+        policy::selector_settings out;
+        out.self = m_settings.node;
+        out.region = m_settings.region;
+        out.regionLinkBytesPerSecond = m_settings.regionLinkBytesPerSecond;
+        return out;
+    }
+
+    auto healthDependencies() -> health_dependencies
+    {
+        return {m_settings.node,
+                m_settings.region,
+                m_identity.incarnation,
+                m_settings.profile,
+                [this] { return m_control.fleet().load(); },
+                [this] { return m_control.configuration().load(); },
+                [this](const std::string &name, base::time_point now) {
+                    return m_control.holdsLease(name, now);
+                },
+                [this](const std::string &name, bool wanted) { m_control.wishLease(name, wanted); },
+                m_metrics};
+    }
+
+    auto upstreamDependencies() -> upstream::service_dependencies
+    {
+        upstream::executor_hooks hooks;
+        hooks.isCurrent = [this] {
+            return m_control.isCurrent();
+        };
+        hooks.start = upstream::startHook(m_control.attempts());
+        m_health.addHooks(hooks);
+        return {m_settings.node, m_identity.incarnation, m_control.configuration(),
+                std::move(hooks), [this](const std::vector<membership::upstream_entry> &entries) {
+                    m_control.publishUpstreams(entries);
+                }};
+    }
+
+    auto createLinks() -> std::vector<std::unique_ptr<peer::link_pool>>
+    {
+        std::vector<std::unique_ptr<peer::link_pool>> links;
+        const auto contexts = m_io.contexts();
+        for (std::size_t i = 0; i < contexts.size(); ++i) {
+            links.push_back(std::make_unique<peer::link_pool>(
+                    *contexts[i], m_identity,
+                    [this, i](peer::stream_pointer incoming) {
+                        m_upstreams.executorOf(i).serve(std::move(incoming));
+                    },
+                    [this](const base::node_id &from, base::channel kind, std::string payload) {
+                        m_control.deliver(from, kind, std::move(payload));
+                    }));
+        }
+        return links;
+    }
+
+    auto linkPointers() const -> std::vector<peer::link_pool *>
+    {
+        std::vector<peer::link_pool *> pointers;
+        pointers.reserve(m_links.size());
+        for (const auto &link : m_links) {
+            pointers.push_back(link.get());
+        }
+        return pointers;
+    }
+
+    auto callerDependencies() -> caller::server_dependencies
+    {
+        auto hooks = caller::policyHooks(m_selector, m_budgets);
+        hooks.select = suspectAwareSelection(m_health, std::move(hooks.select));
+        hooks.isCurrent = [this] {
+            return m_control.isCurrent();
+        };
+        hooks.admit = admissionHook(m_control.tokens());
+        hooks.fence = caller::fenceHook(m_control.fences());
+        hooks.idempotency = idempotencyHooks(m_control.records());
+        return {m_settings.node,   m_control.configuration(),
+                m_control.fleet(), m_upstreams,
+                linkPointers(),    m_metrics,
+                std::move(hooks),  m_settings.maxCallerConnections};
+    }
+
+    auto readiness() const -> std::vector<platform::readiness_check>
+    {
+        return {{"config_current", m_control.isCurrent()},
+                {"configured", m_control.configuration().load()->version() > 0},
+                {"accepting", !m_isDraining}};
+    }
+
+    // Streams of other nodes may still arrive until all of them know that this node leaves.
+    auto drainUpstreams(const std::function<void()> &done) -> void
+    {
+        waitThen(LEAVE_NOTICE, [this, done] {
+            m_upstreams.drain();
+            waitForExecutors(done);
+        });
+    }
+
+    auto waitForExecutors(const std::function<void()> &done) -> void
+    {
+        countActive([this, done](std::size_t active) {
+            if (active == 0) {
+                done();
+                return;
+            }
+            waitThen(DRAIN_POLL_INTERVAL, [this, done] { waitForExecutors(done); });
+        });
+    }
+
+    // The executors belong to their threads, so each is asked on its own.
+    auto countActive(const std::function<void(std::size_t)> &done) -> void
+    {
+        const auto contexts = m_io.contexts();
+        const auto sum = std::make_shared<std::atomic<std::size_t>>(0);
+        const auto left = std::make_shared<std::atomic<std::size_t>>(contexts.size());
+        for (std::size_t i = 0; i < contexts.size(); ++i) {
+            asio::post(*contexts[i], [this, i, sum, left, done] {
+                sum->fetch_add(m_upstreams.executorOf(i).activeCount());
+                if (left->fetch_sub(1) == 1) {
+                    done(sum->load());
+                }
+            });
+        }
+    }
+
+    auto waitThen(base::milliseconds span, const std::function<void()> &action) -> void
+    {
+        auto timer = std::make_shared<asio::steady_timer>(*m_admin.contexts().front(), span);
+        timer->async_wait([timer, action](const auto & /*failure*/) { action(); });
+    }
+
+    config::settings m_settings;
+    peer::link_identity m_identity;
+    base::metrics m_metrics;
+    std::atomic<bool> m_isDraining{false};
+    io_threads m_io;
+    io_threads m_admin;
+    control_plane m_control;
+    health_control m_health;
+    policy::selector m_selector;
+    caller::service_budgets m_budgets;
+    upstream::upstream_service m_upstreams;
+    std::vector<std::unique_ptr<peer::link_pool>> m_links;
+    std::shared_ptr<peer_acceptor> m_acceptor;
+    caller::caller_server m_callers;
+    operators::operator_server m_operators;
+    platform::platform_server m_platform;
+};
+
+node::node(const config::settings &settings) : m_state(std::make_unique<node_state>(settings)) {}
+
+node::~node() = default;
+
+auto node::start() -> void
+{
+    m_state->start();
+}
+
+auto node::drain(std::function<void()> done) -> void
+{
+    m_state->drain(std::move(done));
+}
+
+auto node::openConnections() const -> std::size_t
+{
+    return m_state->openConnections();
+}
+
+} // namespace hawthornpick::app
--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -83,7 +83,7 @@
 
 auto newestVersion(const operator_connection &connection) -> std::optional<std::uint64_t>
 {
-    const auto answer = connection.send("GET", "/v1/status", "");
+    const auto answer = connection.send("GET", "/v1/node", "");
     if (!answer || answer->status != 200) {
         return std::nullopt;
     }
@@ -165,7 +165,8 @@
 
 auto runStatus(const command_options &options) -> exit_code
 {
-    return printPath(options, "/v1/status");
+    const auto own = printPath(options, "/v1/node");
+    return own == exit_code::Success ? printPath(options, "/v1/status") : own;
 }
 
 auto runMembers(const command_options &options) -> exit_code
--- a/src/base/internal/log.cpp
+++ b/src/base/internal/log.cpp
@@ -142,9 +142,8 @@
     }
     const auto line = formatLogLine(currentTime(), level, currentNodeName(), message, fields);
     switch (level) {
+    // The library drops its own debug level from builds with NDEBUG; the line names the real level.
     case log_level::Debug:
-        LOG(DEBUG) << line;
-        return;
     case log_level::Info:
         LOG(INFO) << line;
         return;
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -24,6 +24,10 @@
     std::uint64_t bodyBytes = 0;
     //! Nodes that refused this request or failed it; they are not chosen again.
     std::vector<base::node_id> excluded;
+    base::organisation_id organisation;
+    base::route_id route;
+    //! Identifies the request for crash suspects.
+    base::digest256 fingerprint;
 };
 
 //! The node that is to execute an attempt.
@@ -40,6 +44,7 @@
 struct attempt_report
 {
     base::service_id service;
+    base::organisation_id organisation;
     chosen_node chosen;
     //! Empty if the answer was complete.
     std::optional<base::error_kind> failure;
@@ -111,9 +116,11 @@
     //! Errors: `NoUpstream`, `UpstreamEjected`, `QueueFull`, `RegionLinkBusy`.
     std::function<base::result<chosen_node>(const selection_request &request)> select;
     //! Called before each first attempt; feeds the retry budget.
-    std::function<void(const config::service &service)> onFirstAttempt;
+    std::function<void(const config::service &service, const base::organisation_id &organisation)>
+            onFirstAttempt;
     //! Takes one retry from the budget; false if it is used up.
-    std::function<bool(const config::service &service)> spendRetry;
+    std::function<bool(const config::service &service, const base::organisation_id &organisation)>
+            spendRetry;
     std::function<void(const attempt_report &report)> onAttemptEnd;
     //! Returns true if the attempt was proved not to have started and never will.
     std::function<boost::asio::awaitable<bool>(base::attempt_id attempt, chosen_node chosen)> fence;
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -283,7 +283,7 @@
 {
     const auto &hooks = m_owner.dependencies().hooks;
     if (hooks.onFirstAttempt) {
-        hooks.onFirstAttempt(m_service);
+        hooks.onFirstAttempt(m_service, m_request.organisation);
     }
     while (true) {
         const auto chosen = choose();
@@ -308,8 +308,10 @@
 auto entry_request::choose() -> base::result<chosen_node>
 {
     const auto &select = m_owner.dependencies().hooks.select;
-    selection_request wanted{*m_owner.fleet(), m_service, m_request.idempotent,
-                             m_request.body.size(), m_excluded};
+    selection_request wanted{*m_owner.fleet(),     m_service,
+                             m_request.idempotent, m_request.body.size(),
+                             m_excluded,           m_request.organisation,
+                             m_request.route,      m_request.fingerprint};
     wanted.excluded.insert(wanted.excluded.end(), m_failed.begin(), m_failed.end());
     auto chosen = select(wanted);
     if (!chosen && !m_failed.empty()) {
@@ -333,7 +335,8 @@
     const auto &report = m_owner.dependencies().hooks.onAttemptEnd;
     if (report) {
         const auto kind = result.failure ? std::optional(result.failure->kind) : std::nullopt;
-        report({m_request.service, chosen, kind, result.load, base::clock::now() - start});
+        report({m_request.service, m_request.organisation, chosen, kind, result.load,
+                base::clock::now() - start});
     }
     co_return result;
 }
@@ -382,7 +385,7 @@
     }
     (isUpstreamFailure(kind) ? m_failed : m_excluded).push_back(chosen.id);
     const auto &spendRetry = m_owner.dependencies().hooks.spendRetry;
-    if (spendRetry && !spendRetry(m_service)) {
+    if (spendRetry && !spendRetry(m_service, m_request.organisation)) {
         // Only a refusal before start may be reported under a kind that says "not run".
         if (isNotRun(kind)) {
             m_lastFailure = base::error{error_kind::RetryBudgetExhausted, {}};
--- a/src/caller/internal/wiring.cpp
+++ b/src/caller/internal/wiring.cpp
@@ -15,6 +15,7 @@
     request.idempotent = wanted.idempotent;
     request.expectedBytes = wanted.bodyBytes;
     request.excluded = wanted.excluded;
+    request.organisation = wanted.organisation;
     const auto chosen = selector.choose(wanted.view, request, base::clock::now());
     if (!chosen) {
         return tl::unexpected(chosen.error());
@@ -33,7 +34,7 @@
         return;
     }
     const auto kind = report.failure.value_or(base::error_kind::OutcomeUnknown);
-    selector.onRefusal(report.service, report.chosen.id, kind, now);
+    selector.onRefusal(report.service, report.chosen.id, report.organisation, kind, now);
 }
 
 } // namespace
@@ -49,14 +50,16 @@
     return *budget;
 }
 
-auto service_budgets::onFirstAttempt(const config::service &service) -> void
+auto service_budgets::onFirstAttempt(const config::service &service,
+                                     const base::organisation_id &organisation) -> void
 {
-    budgetOf(service).onFirstAttempt();
+    budgetOf(service).onFirstAttempt(organisation);
 }
 
-auto service_budgets::tryRetry(const config::service &service) -> bool
+auto service_budgets::tryRetry(const config::service &service,
+                               const base::organisation_id &organisation) -> bool
 {
-    return budgetOf(service).tryRetry();
+    return budgetOf(service).tryRetry(organisation);
 }
 
 auto policyHooks(policy::selector &selector, service_budgets &budgets) -> entry_hooks
@@ -68,11 +71,13 @@
     hooks.onAttemptEnd = [&selector](const attempt_report &report) {
         tellSelector(selector, report);
     };
-    hooks.onFirstAttempt = [&budgets](const config::service &service) {
-        budgets.onFirstAttempt(service);
+    hooks.onFirstAttempt = [&budgets](const config::service &service,
+                                      const base::organisation_id &organisation) {
+        budgets.onFirstAttempt(service, organisation);
     };
-    hooks.spendRetry = [&budgets](const config::service &service) {
-        return budgets.tryRetry(service);
+    hooks.spendRetry = [&budgets](const config::service &service,
+                                  const base::organisation_id &organisation) {
+        return budgets.tryRetry(service, organisation);
     };
     return hooks;
 }
--- a/src/caller/wiring.h
+++ b/src/caller/wiring.h
@@ -16,8 +16,10 @@
 class service_budgets
 {
 public:
-    auto onFirstAttempt(const config::service &service) -> void;
-    auto tryRetry(const config::service &service) -> bool;
+    auto onFirstAttempt(const config::service &service, const base::organisation_id &organisation)
+            -> void;
+    auto tryRetry(const config::service &service, const base::organisation_id &organisation)
+            -> bool;
 
 private:
     auto budgetOf(const config::service &service) -> policy::retry_budget &;
--- a/src/operators/fleetaccess.h
+++ b/src/operators/fleetaccess.h
@@ -54,19 +54,21 @@
     base::config_version version = 0;
     std::string digest;
     std::string changeId;
-    std::vector<std::string> differences;
 
     auto operator<=>(const history_entry &) const = default;
 };
 
-//! State of the replicated log as this node knows it.
+//! State of the replicated log.
 struct control_status
 {
     bool isController = false;
-    std::string role;
+    //! True if a majority of the controllers confirmed the rest.
+    bool isConfirmed = false;
     std::string leader;
-    std::uint64_t term = 0;
-    std::uint64_t commitIndex = 0;
+    base::config_version acceptedVersion = 0;
+    base::config_version inForceVersion = 0;
+    std::vector<std::string> voters;
+    std::vector<std::string> learners;
 
     auto operator<=>(const control_status &) const = default;
 };
--- a/src/operators/internal/apitypes.cpp
+++ b/src/operators/internal/apitypes.cpp
@@ -106,11 +106,9 @@
 {
     json::array items;
     for (const auto &entry : entries) {
-        items.push_back(json::object{
-                {"version", entry.version},
-                {"digest", entry.digest},
-                {"change_id", entry.changeId},
-                {"differences", json::array(entry.differences.begin(), entry.differences.end())}});
+        items.push_back(json::object{{"version", entry.version},
+                                     {"digest", entry.digest},
+                                     {"change_id", entry.changeId}});
     }
     return webapi::toText(json::object{{"versions", std::move(items)}});
 }
--- a/src/operators/internal/operatorserver.cpp
+++ b/src/operators/internal/operatorserver.cpp
@@ -48,6 +48,15 @@
     return 202;
 }
 
+auto toArray(const std::vector<std::string> &items) -> json::array
+{
+    json::array out;
+    for (const auto &item : items) {
+        out.emplace_back(item);
+    }
+    return out;
+}
+
 auto nodeStateName(membership::node_state state) -> std::string_view
 {
     switch (state) {
@@ -113,6 +122,9 @@
     if (incoming.method == "GET" && incoming.path == "/v1/status") {
         co_return co_await getStatus();
     }
+    if (incoming.method == "GET" && incoming.path == "/v1/node") {
+        co_return getNode();
+    }
     if (incoming.method == "GET" && incoming.path == "/v1/members") {
         co_return getMembers();
     }
@@ -164,17 +176,24 @@
     const auto status = co_await awaitCallback<control_status>(
             m_context,
             [this](std::function<void(control_status)> done) { m_access.status(std::move(done)); });
+    const json::object body{{"controller", status.isController},
+                            {"confirmed", status.isConfirmed},
+                            {"leader", status.leader},
+                            {"accepted_version", status.acceptedVersion},
+                            {"in_force_version", status.inForceVersion},
+                            {"voters", toArray(status.voters)},
+                            {"learners", toArray(status.learners)}};
+    co_return webapi::response{200, "application/json", webapi::toText(body)};
+}
+
+auto operator_server::getNode() const -> webapi::response
+{
     const auto configuration = m_access.configuration();
     const json::object body{{"version", configuration->version()},
                             {"digest", base::toHex(config::digestOf(configuration->set()))},
                             {"current", m_access.isCurrent()},
-                            {"controller", status.isController},
-                            {"role", status.role},
-                            {"leader", status.leader},
-                            {"term", status.term},
-                            {"commit_index", status.commitIndex},
                             {"members", m_access.view()->nodes().size()}};
-    co_return webapi::response{200, "application/json", webapi::toText(body)};
+    return {200, "application/json", webapi::toText(body)};
 }
 
 auto operator_server::postReplacement(const webapi::request &incoming)
--- a/src/operators/operatorserver.h
+++ b/src/operators/operatorserver.h
@@ -33,6 +33,8 @@
     auto getStatus() -> boost::asio::awaitable<webapi::response>;
     auto postReplacement(const webapi::request &incoming)
             -> boost::asio::awaitable<webapi::response>;
+    //! What this node knows without asking the controllers.
+    auto getNode() const -> webapi::response;
     auto getMembers() const -> webapi::response;
     auto getUpstreams() const -> webapi::response;
 
