Add path tests and fix what they found

A forwarded request crashed, because a reference to a temporary outlived its call; GCC 12 ran co_await behind a false `&&`, so that closing connections waited for the caller; a cancelled attempt was reported as a lost connection and could be repeated. All three are fixed.

--- a/src/caller/internal/callerserver.cpp
+++ b/src/caller/internal/callerserver.cpp
@@ -24,6 +24,16 @@
 constexpr base::milliseconds ACCEPT_PAUSE{50};
 constexpr auto WITH_ERROR = asio::as_tuple(asio::use_awaitable);
 
+auto logFailure(const std::exception_ptr &failure) -> void
+{
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception &error) {
+        base::log(base::log_level::Error, "a caller's connection failed",
+                  {{"error", error.what()}});
+    }
+}
+
 // One I/O thread of the server.
 struct io_part
 {
@@ -132,7 +142,7 @@
         asio::co_spawn(part.context, std::move(work),
                        [self = shared_from_this()](const std::exception_ptr &failure) {
                            if (failure) {
-                               base::log(base::log_level::Error, "a caller's connection failed");
+                               logFailure(failure);
                                self->onClosed();
                            }
                        });
--- a/src/caller/internal/connection.cpp
+++ b/src/caller/internal/connection.cpp
@@ -33,9 +33,14 @@
 
     auto run() -> asio::awaitable<void>
     {
-        bool open = true;
-        while (open && co_await waitForRequest()) {
+        // No co_await stands behind `&&` in this module: GCC 12 evaluates it even if the left side
+        // is false.
+        bool open = co_await waitForRequest();
+        while (open) {
             open = co_await serveOne();
+            if (open) {
+                open = co_await waitForRequest();
+            }
         }
         co_await closeGently();
     }
@@ -52,8 +57,9 @@
             const auto end = drain ? *drain + DRAIN_IDLE_LIMIT : start + IDLE_LIMIT;
             m_input->resume();
             waiting = base::clock::now() < end;
-            if (waiting && !co_await m_input->waitBeyond(0, end)) {
-                waiting = !m_input->ended();
+            if (waiting) {
+                const bool arrived = co_await m_input->waitBeyond(0, end);
+                waiting = arrived || !m_input->ended();
             }
         }
         m_group.idle.erase(m_input.get());
@@ -152,7 +158,7 @@
     {
         m_group.owner.dependencies().metrics.countRefusal(failure.kind);
         if (failure.kind != error_kind::CallerGone) {
-            co_await writer.error(failure, {});
+            co_await writer.error(failure, base::milliseconds(0));
         }
         co_return false;
     }
@@ -196,7 +202,8 @@
     const auto input = std::make_shared<caller_input>(std::move(socket));
     answer_writer writer(*input);
     writer.setStyle({false, false, false, {}});
-    co_await writer.error({error_kind::TooManyConnections, {}}, {});
+    const base::error failure{error_kind::TooManyConnections, {}};
+    co_await writer.error(failure, base::milliseconds(0));
     input->close();
     group->onClosed();
 }
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -374,8 +374,11 @@
         || m_cancel.reason()) {
         co_return false;
     }
-    if (!m_request.idempotent && !co_await provedNotRun(*result.failure, chosen)) {
-        co_return false;
+    if (!m_request.idempotent) {
+        const bool proved = co_await provedNotRun(*result.failure, chosen);
+        if (!proved) {
+            co_return false;
+        }
     }
     if (m_attempts >= m_service.maxAttempts || base::clock::now() >= m_request.deadline) {
         co_return false;
--- a/src/caller/tests/rawclient.cpp
+++ b/src/caller/tests/rawclient.cpp
@@ -101,12 +101,17 @@
         const auto *digits = answer.data() + position + LENGTH.size();
         std::from_chars(digits, answer.data() + answer.size(), length);
     }
+    return answer + readBytes(length);
+}
+
+auto raw_client::readBytes(std::size_t count) -> std::string
+{
     const auto end = base::clock::now() + base::milliseconds(5000);
-    while (m_received.size() < length && receive(end)) {
+    while (m_received.size() < count && receive(end)) {
     }
-    answer += m_received.substr(0, length);
-    m_received.erase(0, length);
-    return answer;
+    auto bytes = m_received.substr(0, count);
+    m_received.erase(0, count);
+    return bytes;
 }
 
 auto raw_client::close() -> void
--- a/src/caller/tests/rawclient.h
+++ b/src/caller/tests/rawclient.h
@@ -28,6 +28,9 @@
     auto readUntil(std::string_view mark, base::milliseconds limit = base::milliseconds(5000))
             -> std::string;
 
+    //! Reads `count` bytes, or fewer at the end or after 5 s.
+    auto readBytes(std::size_t count) -> std::string;
+
     //! Reads one answer with Content-Length.
     auto readAnswer() -> std::string;
 
--- a/src/caller/tests/testnode.cpp
+++ b/src/caller/tests/testnode.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr base::incarnation INCARNATION = 7;
+
 auto makeRoute(const char *id, const char *path, config::route_access access, bool idempotent)
         -> config::route
 {
@@ -39,18 +41,13 @@
     return set;
 }
 
-test_node::test_node(config::config_set set, std::uint32_t maxConnections, std::size_t threads)
-    : m_configuration(std::make_shared<const config::snapshot>(1, std::move(set))),
+test_node::test_node(const std::string &name, config::config_set set, std::uint32_t maxConnections)
+    : m_name(name), m_configuration(std::make_shared<const config::snapshot>(1, std::move(set))),
       m_fleet(std::make_shared<const membership::view>()),
-      m_selector(policy::selector_settings{base::node_id("n1"), base::region_id("r1")}, 1),
-      m_attempts(7)
+      m_selector(policy::selector_settings{base::node_id(name), base::region_id("r1")}, 1),
+      m_attempts(INCARNATION), m_work(boost::asio::make_work_guard(m_context)),
+      m_peerAcceptor(m_context, {boost::asio::ip::address_v4::loopback(), 0})
 {
-    std::vector<boost::asio::io_context *> contexts;
-    for (std::size_t i = 0; i < threads; ++i) {
-        m_contexts.push_back(std::make_unique<boost::asio::io_context>(1));
-        m_work.push_back(boost::asio::make_work_guard(*m_contexts.back()));
-        contexts.push_back(m_contexts.back().get());
-    }
     upstream::executor_hooks hooks;
     hooks.isCurrent = [this] {
         return m_current.load();
@@ -60,47 +57,80 @@
         ++m_endings.at(static_cast<std::size_t>(finish.ending));
     };
     m_upstreams = std::make_unique<upstream::upstream_service>(
-            contexts, membership::endpoint{"127.0.0.1", 0},
-            upstream::service_dependencies{base::node_id("n1"), 7, m_configuration, hooks,
+            std::vector{&m_context}, membership::endpoint{"127.0.0.1", 0},
+            upstream::service_dependencies{base::node_id(name), INCARNATION, m_configuration, hooks,
                                            [this](const auto &entries) {
                                                publish(entries);
                                            }});
+    m_links = std::make_unique<peer::link_pool>(
+            m_context, peer::link_identity{base::node_id(name), INCARNATION, "secret", ""},
+            [this](peer::stream_pointer incoming) {
+                m_upstreams->executorOf(0).serve(std::move(incoming));
+            },
+            [](const base::node_id &, base::channel, std::string) {});
     auto entryHooks = caller::policyHooks(m_selector, m_budgets);
     entryHooks.isCurrent = hooks.isCurrent;
-    m_server =
-            std::make_unique<caller::caller_server>(contexts, membership::endpoint{"127.0.0.1", 0},
-                                                    caller::server_dependencies{base::node_id("n1"),
-                                                                                m_configuration,
-                                                                                m_fleet,
-                                                                                *m_upstreams,
-                                                                                {},
-                                                                                m_metrics,
-                                                                                entryHooks,
-                                                                                maxConnections});
-    for (auto *context : contexts) {
-        m_threads.emplace_back([context] { context->run(); });
-    }
+    m_server = std::make_unique<caller::caller_server>(
+            std::vector{&m_context}, membership::endpoint{"127.0.0.1", 0},
+            caller::server_dependencies{base::node_id(name),
+                                        m_configuration,
+                                        m_fleet,
+                                        *m_upstreams,
+                                        {m_links.get()},
+                                        m_metrics,
+                                        entryHooks,
+                                        maxConnections});
+    acceptLinks();
+    m_thread = std::thread([this] { m_context.run(); });
 }
 
 test_node::~test_node()
 {
-    for (auto &context : m_contexts) {
-        context->stop();
-    }
-    for (auto &thread : m_threads) {
-        thread.join();
-    }
+    m_context.stop();
+    m_thread.join();
 }
 
-auto test_node::publish(const std::vector<membership::upstream_entry> &entries) -> void
+auto test_node::acceptLinks() -> void
+{
+    m_peerAcceptor.async_accept(
+            [this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
+                if (!error) {
+                    m_links->serve(std::move(socket));
+                    acceptLinks();
+                }
+            });
+}
+
+auto test_node::entry() const -> membership::node_entry
 {
+    const std::lock_guard lock(m_mutex);
     membership::node_entry node;
-    node.id = base::node_id("n1");
-    node.incarnation = 7;
+    node.id = base::node_id(m_name);
+    node.incarnation = INCARNATION;
     node.region = base::region_id("r1");
-    node.upstreams = entries;
-    m_fleet.store(
-            std::make_shared<const membership::view>(1, std::vector<membership::node_entry>{node}));
+    node.peerAddress = {"127.0.0.1", m_peerAcceptor.local_endpoint().port()};
+    node.upstreams = m_entries;
+    return node;
+}
+
+auto test_node::know(const test_node &other) -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_others.push_back(other.entry());
+    }
+    publish(entry().upstreams);
+}
+
+auto test_node::publish(const std::vector<membership::upstream_entry> &entries) -> void
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_entries = entries;
+    }
+    auto nodes = m_others;
+    nodes.push_back(entry());
+    m_fleet.store(std::make_shared<const membership::view>(1, std::move(nodes)));
 }
 
 auto test_node::announce(const std::string &name, std::uint16_t upstreamPort, std::uint32_t slots,
--- a/src/caller/tests/testnode.h
+++ b/src/caller/tests/testnode.h
@@ -6,7 +6,9 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -23,8 +25,8 @@
 class test_node
 {
 public:
-    explicit test_node(config::config_set set = testConfiguration(),
-                       std::uint32_t maxConnections = 100, std::size_t threads = 1);
+    explicit test_node(const std::string &name = "n1", config::config_set set = testConfiguration(),
+                       std::uint32_t maxConnections = 100);
     ~test_node();
     test_node(const test_node &) = delete;
     auto operator=(const test_node &) -> test_node & = delete;
@@ -38,6 +40,12 @@
     auto announce(const std::string &name, std::uint16_t upstreamPort, std::uint32_t slots = 4,
                   membership::upstream_state state = membership::upstream_state::Ready) -> void;
 
+    //! Makes this node know another one, so that it forwards requests to it.
+    auto know(const test_node &other) -> void;
+
+    //! Entry of this node as other nodes see it.
+    [[nodiscard]] auto entry() const -> membership::node_entry;
+
     //! Number of observed attempts that ended in the given way.
     auto endings(upstream::attempt_ending ending) -> int;
 
@@ -47,6 +55,12 @@
 private:
     auto publish(const std::vector<membership::upstream_entry> &entries) -> void;
 
+    auto acceptLinks() -> void;
+
+    std::string m_name;
+    mutable std::mutex m_mutex;
+    std::vector<membership::upstream_entry> m_entries;
+    std::vector<membership::node_entry> m_others;
     base::metrics m_metrics;
     config::snapshot_cell m_configuration;
     base::snapshot_cell<membership::view> m_fleet;
@@ -55,11 +69,13 @@
     atmostonce::attempt_registry m_attempts;
     std::atomic<bool> m_current{true};
     std::array<std::atomic<int>, 8> m_endings{};
-    std::vector<std::unique_ptr<boost::asio::io_context>> m_contexts;
-    std::vector<boost::asio::executor_work_guard<boost::asio::io_context::executor_type>> m_work;
+    boost::asio::io_context m_context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::ip::tcp::acceptor m_peerAcceptor;
+    std::unique_ptr<peer::link_pool> m_links;
     std::unique_ptr<upstream::upstream_service> m_upstreams;
     std::unique_ptr<caller::caller_server> m_server;
-    std::vector<std::thread> m_threads;
+    std::thread m_thread;
 };
 
 //! Sends `request` on a new connection and returns everything until the end or `limit`.
--- a/src/upstream/forwarder.h
+++ b/src/upstream/forwarder.h
@@ -33,9 +33,9 @@
     {}
 
     //! Runs one attempt on another node. Errors before anything was sent mean "not run".
-    //! Precondition: the arguments outlive the returned coroutine. Thread safety: the context's
+    //! Precondition: the arguments but `target` outlive the coroutine. Thread safety: the context's
     //! thread.
-    auto run(const remote_node &target, const attempt_request &request, const body_source &source,
+    auto run(remote_node target, const attempt_request &request, const body_source &source,
              const answer_sink &sink, cancellation &cancel)
             -> boost::asio::awaitable<attempt_result>;
 
--- a/src/upstream/internal/forwarder.cpp
+++ b/src/upstream/internal/forwarder.cpp
@@ -204,8 +204,8 @@
 
 } // namespace
 
-auto forwarder::run(const remote_node &target, const attempt_request &request,
-                    const body_source &source, const answer_sink &sink, cancellation &cancel)
+auto forwarder::run(remote_node target, const attempt_request &request, const body_source &source,
+                    const answer_sink &sink, cancellation &cancel)
         -> asio::awaitable<attempt_result>
 {
     auto stream = co_await m_links.open(target.id, target.address, target.incarnation);
--- a/src/upstream/internal/streamserver.cpp
+++ b/src/upstream/internal/streamserver.cpp
@@ -101,17 +101,21 @@
     return sink;
 }
 
+// The messages are built before the co_await expressions, because GCC 12 destroys temporaries of
+// aggregate type in such an expression twice.
 auto finish(peer::stream &stream, const attempt_result &result) -> asio::awaitable<void>
 {
+    const answer_opening opening{result.failure, {}, result.load};
+    const answer_closing closing{result.failure, result.load.value_or(policy::service_load{})};
+    auto first = encodeOpening(opening);
+    auto last = encodeClosing(closing);
     if (!result.answerStarted) {
-        const auto sent =
-                co_await stream.sendHead(encodeOpening({result.failure, {}, result.load}));
+        const auto sent = co_await stream.sendHead(std::move(first));
         if (!sent) {
             co_return;
         }
     }
-    co_await stream.sendEnd(
-            encodeClosing({result.failure, result.load.value_or(policy::service_load{})}));
+    co_await stream.sendEnd(std::move(last));
 }
 
 } // namespace
--- a/src/upstream/internal/upstreamexchange.cpp
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -130,6 +130,10 @@
 
 auto upstream_exchange::failRead(const std::string &detail) -> void
 {
+    if (m_cancel.reason()) {
+        fail(*m_cancel.reason(), "cancelled");
+        return;
+    }
     if (m_expired) {
         const bool late = base::clock::now() >= m_request.deadline;
         fail(late ? error_kind::DeadlineAfterStart : error_kind::UpstreamTimeout, detail);
@@ -167,7 +171,8 @@
             break;
         }
         const bool last = part->empty();
-        open = co_await sendPart(std::move(*part)) && !last;
+        const bool sent = co_await sendPart(std::move(*part));
+        open = sent && !last;
         m_bodySent = last && m_connection.socket.is_open();
     }
     m_bodyRunning = false;
@@ -334,14 +339,16 @@
             part.resize(used);
             co_return part;
         }
-        if (stuck && !co_await fill()) {
-            if (m_sawEnd) {
-                m_parser->put_eof(error);
-            }
-            if (m_result.failure || error) {
-                failRead("the answer ended early");
-                co_return std::nullopt;
-            }
+        if (!stuck) {
+            continue;
+        }
+        const bool more = co_await fill();
+        if (!more && m_sawEnd) {
+            m_parser->put_eof(error);
+        }
+        if (m_result.failure || error) {
+            failRead("the answer ended early");
+            co_return std::nullopt;
         }
     }
 }
