--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -97,18 +97,17 @@
     scripted_upstream upstream(answerWith("x"));
     test_node node;
     node.announce("u1", upstream.port());
+    const std::string post = "POST /open HTTP/1.1\r\nHost: x\r\n";
     const std::vector<std::string> shapes{
-            "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: "
-            "chunked\r\n\r\n0\r\n\r\n",
-            "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: "
-            "3\r\n\r\n0\r\n\r\n",
-            "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
-            "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: +3\r\n\r\nabc",
-            "POST /open HTTP/1.1\r\nHost: x\r\nContent-Length: 3, 3\r\n\r\nabc",
-            "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
-            "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: identity\r\n\r\n",
+            post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n",
+            post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+            post + "Content-Length: +3\r\n\r\nabc",
+            post + "Content-Length: 3, 3\r\n\r\nabc",
+            post + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+            post + "Transfer-Encoding: identity\r\n\r\n",
             "POST /open HTTP/1.0\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-            "POST /open HTTP/1.1\r\nHost: x\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+            post + "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
             "GET /open HTTP/1.1\nHost: x\n\n",
             "GET /open HTTP/1.1\r\nHost: x\nX-A: b\r\n\r\n",
             "GET /open HTTP/1.1\r\nHost: x\r\nX-A: b\r\n folded\r\n\r\n",
