Frame request bodies independently of the link's events

Ruled out: Nagle, the caller's parser, lost wake-ups; byte counts on both sides of the link showed the difference. Parts now carry a length and are reassembled.

--- a/src/peer/internal/connection.cpp
+++ b/src/peer/internal/connection.cpp
@@ -262,7 +262,7 @@
         if (state->failure) {
             break;
         }
-        const auto count = std::min({view.size() - sent, state->sendWindow, DATA_FRAME_BYTES});
+        const auto count = std::min({view.size() - sent, state->sendWindow, MAX_DATA_EVENT_BYTES});
         state->sendWindow -= count;
         if (count == view.size()) {
             m_queue.push(frame_type::Data, state->id, std::move(bytes));
--- a/src/peer/internal/connection.h
+++ b/src/peer/internal/connection.h
@@ -23,8 +23,6 @@
 
 //! Bytes of body that a sender may have under way on one stream and direction.
 inline constexpr std::size_t STREAM_WINDOW_BYTES = 256UL * 1024;
-//! Bodies are cut into frames of this size so that streams share the link evenly.
-inline constexpr std::size_t DATA_FRAME_BYTES = 16UL * 1024;
 //! Streams that a peer may have open on one link.
 inline constexpr std::size_t MAX_STREAMS_PER_LINK = 4096;
 //! Largest control message; a snapshot of a large configuration fits.
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -8,6 +8,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,6 +37,9 @@
 
 using stream_event = std::variant<stream_head, stream_data, stream_end>;
 
+//! Longest part of a body in one event; `stream::sendData` splits longer ones.
+inline constexpr std::size_t MAX_DATA_EVENT_BYTES = 16UL * 1024;
+
 class stream_state;
 
 //! One request and its answer on a link to another node, with flow control in both directions.
@@ -57,7 +61,8 @@
     //! `OutcomeUnknown` if it is lost later; the reason of a reset by the peer.
     auto sendHead(std::string bytes) -> boost::asio::awaitable<base::result<void>>;
 
-    //! Sends part of the body; waits while the peer's window is used up. Errors as `sendHead`.
+    //! Sends part of the body; waits while the peer's window is used up. The borders of parts are not
+    //! kept: a part is split at `MAX_DATA_EVENT_BYTES` and where the window ends. Errors as `sendHead`.
     auto sendData(std::string bytes) -> boost::asio::awaitable<base::result<void>>;
 
     //! Ends the sending direction. Errors as `sendHead`.
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -106,12 +106,6 @@
     std::function<void()> m_action;
 };
 
-//! Last byte of each body part on a request stream: tells whether more parts follow. The entry node
-//! keeps its direction of the stream open until the answer ended, because the executing node would
-//! not see a reset after the end of that direction.
-inline constexpr char MORE_PARTS = '\0';
-inline constexpr char LAST_PART = '\1';
-
 //! How an attempt ended.
 struct attempt_result
 {
--- a/src/upstream/internal/forwarder.cpp
+++ b/src/upstream/internal/forwarder.cpp
@@ -1,5 +1,6 @@
 #include "upstream/forwarder.h"
 
+#include "upstream/bodyframing.h"
 #include "upstream/deadlinetimer.h"
 #include "upstream/wakesignal.h"
 #include "upstream/wirecodec.h"
@@ -17,7 +18,6 @@
 
 // A head may have 64 KB, of which the header lines take at most 16 KB.
 constexpr std::size_t MAX_BODY_IN_HEAD_BYTES = 32UL * 1024;
-constexpr std::size_t PART_BYTES = 16UL * 1024;
 
 // One attempt on a stream to another node.
 class forwarding
@@ -85,8 +85,8 @@
     auto sendBody(std::string start) -> asio::awaitable<void>
     {
         bool open = true;
-        for (std::size_t at = 0; at < start.size() && open; at += PART_BYTES) {
-            open = co_await sendPart(start.substr(at, PART_BYTES), false);
+        if (!start.empty()) {
+            open = co_await sendPart(start);
         }
         while (open && !m_request.bodyComplete) {
             auto part = co_await m_source.read();
@@ -100,19 +100,19 @@
             if (part->empty()) {
                 break;
             }
-            open = co_await sendPart(std::move(*part), false);
+            open = co_await sendPart(*part);
         }
         if (open) {
-            co_await sendPart({}, true);
+            co_await sendPart({});
         }
         m_bodyRunning = false;
         m_bodyDone.notify();
     }
 
-    auto sendPart(std::string part, bool last) -> asio::awaitable<bool>
+    auto sendPart(std::string_view part) -> asio::awaitable<bool>
     {
-        part.push_back(last ? LAST_PART : MORE_PARTS);
-        const auto sent = co_await m_stream->sendData(std::move(part));
+        auto bytes = encodeBodyPart(part);
+        const auto sent = co_await m_stream->sendData(std::move(bytes));
         co_return sent.has_value();
     }
 
--- a/src/upstream/internal/streamserver.cpp
+++ b/src/upstream/internal/streamserver.cpp
@@ -1,5 +1,6 @@
 #include "upstream/internal/streamserver.h"
 
+#include "upstream/bodyframing.h"
 #include "upstream/wirecodec.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,10 +53,7 @@
             co_return std::string();
         }
         auto part = *std::exchange(m_part, std::nullopt);
-        m_lastTaken = part.empty() || part.back() == LAST_PART;
-        if (!part.empty()) {
-            part.pop_back();
-        }
+        m_lastTaken = m_body.ended();
         m_wanted.notify();
         co_return part;
     }
@@ -70,8 +68,12 @@
 private:
     // Holds one part until it is consumed, which keeps the peer's window closed for a slow
     // upstream.
-    auto keep(std::string part) -> asio::awaitable<void>
+    auto keep(std::string bytes) -> asio::awaitable<void>
     {
+        auto part = m_body.decode(bytes);
+        if (part.empty() && !m_body.ended()) {
+            co_return;
+        }
         m_part = std::move(part);
         m_arrived.notify();
         while (m_part && !m_stopped) {
@@ -83,6 +85,7 @@
     wake_signal m_wanted;
     wake_signal m_arrived;
     cancellation m_cancel;
+    body_decoder m_body;
     std::optional<std::string> m_part;
     bool m_lastTaken = false;
     bool m_ended = false;
