--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -1,6 +1,7 @@
 #include "caller/internal/entry.h"
 
 #include "base/digest.h"
+#include "upstream/headerrules.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -19,6 +20,7 @@
 // Longest body that is kept for a retry; also the part that enters the fingerprint.
 constexpr std::size_t MAX_BUFFERED_BODY_BYTES = 64UL * 1024;
 constexpr std::size_t MAX_REQUEST_ID_BYTES = 128;
+constexpr std::size_t MAX_IDEMPOTENCY_KEY_BYTES = 256;
 
 auto refuse(error_kind kind, std::string detail = {}) -> std::optional<refusal>
 {
@@ -155,8 +157,8 @@
 
 auto entry_request::admit() -> asio::awaitable<refusal_or_done>
 {
-    for (const auto step :
-         {&entry_request::checkNode, &entry_request::matchRoute, &entry_request::checkKey}) {
+    for (const auto step : {&entry_request::checkNode, &entry_request::matchRoute,
+                            &entry_request::checkKey, &entry_request::checkIdempotencyKey}) {
         if (auto refused = (this->*step)()) {
             co_return refused;
         }
@@ -214,6 +216,26 @@
     return {};
 }
 
+auto entry_request::checkIdempotencyKey() -> refusal_or_done
+{
+    if (m_route->idempotent) {
+        return {};
+    }
+    const auto key = singleValue(m_parser.get().base(), "Idempotency-Key");
+    if (key && key->size() > MAX_IDEMPOTENCY_KEY_BYTES) {
+        return refuse(error_kind::BadRequest, "Idempotency-Key is too long");
+    }
+    if (key && !key->empty()) {
+        m_record.emplace(m_owner.dependencies().hooks.idempotency, std::string(*key),
+                         m_route->recordLife);
+        return {};
+    }
+    if (m_route->idempotencyKey == config::idempotency_key_use::Required) {
+        return refuse(error_kind::IdempotencyKeyRequired);
+    }
+    return {};
+}
+
 auto entry_request::takeToken() -> asio::awaitable<refusal_or_done>
 {
     const auto &admit = m_owner.dependencies().hooks.admit;
@@ -280,6 +302,24 @@
 }
 
 auto entry_request::forward() -> asio::awaitable<refusal_or_done>
+{
+    auto refused = co_await runAttempts();
+    if (m_record && refused && !m_mayHaveRun) {
+        m_record->release();
+    }
+    co_return refused;
+}
+
+// A later refusal before start does not undo an earlier attempt.
+auto entry_request::finalRefusal(base::error what) const -> refusal
+{
+    if (m_mayHaveRun && isNotRun(what.kind)) {
+        return {{error_kind::OutcomeUnknown, std::string(base::answerFor(what.kind).reason)}, {}};
+    }
+    return {std::move(what), {}};
+}
+
+auto entry_request::runAttempts() -> asio::awaitable<refusal_or_done>
 {
     const auto &hooks = m_owner.dependencies().hooks;
     if (hooks.onFirstAttempt) {
@@ -289,22 +329,58 @@
         const auto chosen = choose();
         if (!chosen) {
             // The refusal of the last attempt says more than the lack of another node.
-            co_return refusal{m_lastFailure.value_or(chosen.error()), {}};
+            co_return finalRefusal(m_lastFailure.value_or(chosen.error()));
+        }
+        nameAttempt(*chosen);
+        if (m_record) {
+            auto claim = co_await m_record->prepareAttempt(m_request, *chosen);
+            if (claim && std::holds_alternative<idempotency_replay>(*claim)) {
+                co_return co_await replay(std::get<idempotency_replay>(*claim));
+            }
+            if (claim) {
+                co_return refusal{std::get<base::error>(*claim), {}};
+            }
         }
         const auto result = co_await attemptOn(*chosen);
         if (!result.failure) {
+            m_mayHaveRun = true;
+            if (m_record) {
+                m_record->complete();
+            }
             const auto ended = co_await m_writer.end();
             co_return ended ? std::nullopt : refusal_or_done(refusal{ended.error(), {}});
         }
         m_lastFailure = result.failure;
-        if (!co_await mayRetry(result, *chosen)) {
-            co_return refusal{*m_lastFailure, {}};
+        const bool retry = co_await mayRetry(result, *chosen);
+        if (!retry) {
+            co_return finalRefusal(*m_lastFailure);
         }
         m_owner.dependencies().metrics.countRetry(result.failure->kind);
         co_await pauseBeforeRetry();
     }
 }
 
+auto entry_request::nameAttempt(const chosen_node &chosen) -> void
+{
+    ++m_attempts;
+    m_request.attempt = m_owner.random().attemptId();
+    m_request.nodeIncarnation = chosen.incarnation;
+}
+
+auto entry_request::replay(const idempotency_replay &stored) -> asio::awaitable<refusal_or_done>
+{
+    auto answer = decodeStoredAnswer(stored.answer);
+    if (!answer) {
+        co_return refuse(error_kind::OutcomeUnknown, "the stored answer is damaged");
+    }
+    upstream::appendHeader(answer->headers, "Idempotency-Replayed", "true");
+    auto sent = co_await m_writer.start(std::move(*answer));
+    if (sent) {
+        sent = co_await m_writer.end();
+    }
+    co_return sent ? std::nullopt : refusal_or_done(refusal{sent.error(), {}});
+}
+
 auto entry_request::choose() -> base::result<chosen_node>
 {
     const auto &select = m_owner.dependencies().hooks.select;
@@ -325,9 +401,6 @@
 auto entry_request::attemptOn(const chosen_node &chosen)
         -> asio::awaitable<upstream::attempt_result>
 {
-    ++m_attempts;
-    m_request.attempt = m_owner.random().attemptId();
-    m_request.nodeIncarnation = chosen.incarnation;
     const auto start = base::clock::now();
     const auto bodySource = source();
     const auto answerSink = sink();
@@ -373,6 +446,8 @@
         -> asio::awaitable<bool>
 {
     const auto kind = result.failure->kind;
+    const bool mayHaveRun = result.answerStarted || !isNotRun(kind);
+    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
     if (result.answerStarted || m_writer.started() || m_bodyUsed || !isRetryable(kind)
         || m_cancel.reason()) {
         co_return false;
@@ -382,6 +457,11 @@
         if (!proved) {
             co_return false;
         }
+        // All earlier attempts of a non-idempotent request were proved as well.
+        m_mayHaveRun = false;
+        if (!isNotRun(kind)) {
+            m_lastFailure = base::error{error_kind::PeerUnreachable, "fenced before start"};
+        }
     }
     if (m_attempts >= m_service.maxAttempts || base::clock::now() >= m_request.deadline) {
         co_return false;
@@ -433,8 +513,16 @@
 
 auto entry_request::sink() -> upstream::answer_sink
 {
-    return {[this](upstream::answer_start start) { return m_writer.start(std::move(start)); },
+    return {[this](upstream::answer_start start) {
+                if (m_record) {
+                    m_record->keepStart(start);
+                }
+                return m_writer.start(std::move(start));
+            },
             [this](std::string part) {
+                if (m_record) {
+                    m_record->keepData(part);
+                }
                 return m_writer.data(std::move(part));
             }};
 }
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "caller/hooks.h"
 #include "caller/internal/answerwriter.h"
+#include "caller/internal/idempotentrun.h"
 #include "caller/internal/requestbody.h"
 #include "caller/internal/requesthead.h"
 #include "config/snapshot.h"
@@ -72,6 +73,7 @@
     auto checkNode() -> refusal_or_done;
     auto matchRoute() -> refusal_or_done;
     auto checkKey() -> refusal_or_done;
+    auto checkIdempotencyKey() -> refusal_or_done;
     auto takeToken() -> task<refusal_or_done>;
     auto readBody() -> task<refusal_or_done>;
     auto prepare(std::string body) -> void;
@@ -79,6 +81,10 @@
     auto choose() -> base::result<chosen_node>;
     auto readRest() -> task<base::result<std::string>>;
     auto forward() -> task<refusal_or_done>;
+    auto runAttempts() -> task<refusal_or_done>;
+    auto nameAttempt(const chosen_node &chosen) -> void;
+    auto replay(const idempotency_replay &stored) -> task<refusal_or_done>;
+    auto finalRefusal(base::error what) const -> refusal;
     auto attemptOn(const chosen_node &chosen) -> task<upstream::attempt_result>;
     auto runOn(const chosen_node &chosen, const upstream::body_source &source,
                const upstream::answer_sink &sink) -> task<upstream::attempt_result>;
@@ -105,6 +111,9 @@
     std::vector<base::node_id> m_excluded;
     std::vector<base::node_id> m_failed;
     std::optional<base::error> m_lastFailure;
+    std::optional<idempotent_run> m_record;
+    // Set once an attempt was not proved to be "not started".
+    bool m_mayHaveRun = false;
     unsigned m_attempts = 0;
     bool m_bodyUsed = false;
 };
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -61,8 +61,9 @@
     //! `OutcomeUnknown` if it is lost later; the reason of a reset by the peer.
     auto sendHead(std::string bytes) -> boost::asio::awaitable<base::result<void>>;
 
-    //! Sends part of the body; waits while the peer's window is used up. The borders of parts are not
-    //! kept: a part is split at `MAX_DATA_EVENT_BYTES` and where the window ends. Errors as `sendHead`.
+    //! Sends part of the body; waits while the peer's window is used up. The borders of parts are
+    //! not kept: a part is split at `MAX_DATA_EVENT_BYTES` and where the window ends. Errors as
+    //! `sendHead`.
     auto sendData(std::string bytes) -> boost::asio::awaitable<base::result<void>>;
 
     //! Ends the sending direction. Errors as `sendHead`.
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -4,7 +4,6 @@
 #include "webapi/client.h"
 #include "webapi/json.h"
 
-#include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -17,6 +16,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+// Last, because it redefines `new`.
+#include <CppUTest/TestHarness.h>
+
 namespace hawthornpick::processtest {
 
 namespace {
