Separate controllers from witnesses in the process tests

The test for absent controllers killed only one node, because controllers and witnesses shared hosts. Controllers now stand apart, two of three are killed, a witness restarts meanwhile and an apply must not come into force.

--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -43,7 +43,7 @@
 
 auto isController(const node_place &place) -> bool
 {
-    return place.region == 1 ? place.position <= 2 : place.position == 1;
+    return place.region == 1 ? place.position >= 2 : place.position == 3;
 }
 
 } // namespace
@@ -148,8 +148,8 @@
          << listen("advertised_peers", PROXY_PORT) << listen("announce", ANNOUNCE_PORT)
          << listen("operators", OPERATOR_PORT) << listen("platform", PLATFORM_PORT)
          << "[fleet]\nsecret = process-test-fleet-secret\noperator_key = " << OPERATOR_KEY << "\n"
-         << named("seed", "a1") << named("seed", "b1") << named("controller", "a1")
-         << named("controller", "a2") << named("controller", "b1") << "[witnesses a]\n"
+         << named("seed", "a1") << named("seed", "b1") << named("controller", "a2")
+         << named("controller", "a3") << named("controller", "b3") << "[witnesses a]\n"
          << named("witness", "a1") << named("witness", "a2") << named("witness", "b1")
          << "[witnesses b]\n"
          << named("witness", "b1") << named("witness", "b2") << named("witness", "a1");
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -41,8 +41,8 @@
 };
 
 //! Real node processes on loopback addresses, two regions of three nodes each. All traffic between
-//! nodes passes a fault-injecting proxy inside the test process. The first two nodes of region 1
-//! and the first of region 2 are controllers. The destructor ends all processes.
+//! nodes passes a fault-injecting proxy inside the test process. Controllers are a2, a3 and b3;
+//! witnesses are a1, a2, b1 and b2. The destructor ends all processes.
 class fleet
 {
 public:
--- a/tests/process/invarianttest.cpp
+++ b/tests/process/invarianttest.cpp
@@ -341,11 +341,17 @@
     addUpstream("b2");
     m_fleet.applyAndWait(WIDE);
     waitUntilServed("b3");
-    // a2 and b1 leave one witness majority in each region.
-    m_fleet.kill("a2");
-    waitUntilServed("b3");
+    // Two of three controllers are gone, while each region keeps all its witnesses.
+    m_fleet.kill("a3");
     m_fleet.kill("b3");
-    m_fleet.start("b3");
-    waitUntil("the restarted node is ready", [&] { return m_fleet.isReady("b3"); });
-    waitUntilServed("b3");
+    waitUntilServed("b1");
+    // A witness without a disk must recover from the other witnesses.
+    m_fleet.kill("b2");
+    m_fleet.start("b2");
+    waitUntil("the restarted node is ready", [&] { return m_fleet.isReady("b2"); });
+    waitUntilServed("b2");
+    const auto base = m_fleet.versionOf("a1").value_or(0);
+    const auto refused = m_fleet.apply("a1", "no-quorum", base, declaration(10, 10, true));
+    CHECK(refused.has_value());
+    CHECK(jsonText(refused->body, "state") != "in_force");
 }
