--- a/src/base/tests/errorkindtest.cpp
+++ b/src/base/tests/errorkindtest.cpp
@@ -2,6 +2,8 @@
 #include "base/metrics.h"
 
 #include <CppUTest/TestHarness.h>
+#include <fstream>
+#include <iterator>
 #include <set>
 
 using namespace hawthornpick::base;
@@ -54,3 +56,17 @@
         CHECK(text.find("hawthornpick_retries_total" + label) != std::string::npos);
     }
 }
+
+// Guards against a page for operators that differs from what callers get.
+TEST(error_kind_table, documentationHasEveryRow)
+{
+    std::ifstream page(HAWTHORNPICK_SOURCE_DIR "/docs/ERRORS.md");
+    const std::string text{std::istreambuf_iterator<char>(page), {}};
+    for (const auto &row : errorTable()) {
+        const auto line = "| `" + std::string(row.reason) + "` | " + std::to_string(row.httpStatus)
+                          + " | " + std::string(outcomeName(row.result)) + " | "
+                          + (row.mayRetry ? "yes" : "no") + " | " + std::string(row.description)
+                          + " |\n";
+        CHECK_TEXT(text.find(line) != std::string::npos, std::string(row.reason).c_str());
+    }
+}
--- a/tests/process/upstream.h
+++ b/tests/process/upstream.h
@@ -30,6 +30,8 @@
     auto setLatency(std::chrono::milliseconds latency) -> void { m_latencyMs = latency.count(); }
     //! Answers with status 500 if true.
     auto setFailing(bool failing) -> void { m_isFailing = failing; }
+    [[nodiscard]] auto address() const -> membership::endpoint { return m_server->address(); }
+
     //! Slots in the announcements.
     auto setSlots(unsigned slots) -> void { m_slots = slots; }
     //! State in the announcements: "ready" or "draining".
