--- a/src/app/internal/nodehooks.cpp
+++ b/src/app/internal/nodehooks.cpp
@@ -1,6 +1,6 @@
 #include "app/internal/nodehooks.h"
 
-#include "upstream/callbackresult.h"
+#include "base/awaitcallback.h"
 
 #include <algorithm>
 
@@ -8,7 +8,7 @@
 
 namespace {
 
-using upstream::awaitCallback;
+using base::awaitCallback;
 
 auto convert(const limits::admission_result &result) -> caller::admission
 {
--- a/src/upstream/callbackresult.h
+++ b/src/base/awaitcallback.h
@@ -9,7 +9,7 @@
 #include <memory>
 #include <utility>
 
-namespace hawthornpick::upstream {
+namespace hawthornpick::base {
 
 //! Waits for a result that a callback delivers on any thread; the coroutine resumes on its own
 //! thread. `start` is called with the callback, which must be called exactly once.
@@ -30,4 +30,4 @@
             asio::use_awaitable);
 }
 
-} // namespace hawthornpick::upstream
+} // namespace hawthornpick::base
--- a/src/caller/internal/wiring.cpp
+++ b/src/caller/internal/wiring.cpp
@@ -1,6 +1,6 @@
 #include "caller/wiring.h"
 
-#include "upstream/callbackresult.h"
+#include "base/awaitcallback.h"
 
 namespace hawthornpick::caller {
 
@@ -87,7 +87,7 @@
     return [&fences](base::attempt_id attempt, chosen_node chosen) -> boost::asio::awaitable<bool> {
         using atmostonce::fence_answer;
         const atmostonce::attempt_place place{attempt, chosen.id, chosen.incarnation};
-        const auto answer = co_await upstream::awaitCallback<fence_answer>(
+        const auto answer = co_await base::awaitCallback<fence_answer>(
                 [&fences, place](std::function<void(fence_answer)> done) {
                     fences.ask(place, atmostonce::fence_client::DEFAULT_LIMIT, std::move(done));
                 });
--- a/src/operators/internal/operatorserver.cpp
+++ b/src/operators/internal/operatorserver.cpp
@@ -1,11 +1,9 @@
 #include "operators/operatorserver.h"
 
+#include "base/awaitcallback.h"
 #include "operators/apitypes.h"
 #include "webapi/json.h"
 
-#include <boost/asio/async_result.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
 namespace hawthornpick::operators {
@@ -19,22 +17,6 @@
 constexpr std::size_t MAX_OPERATOR_CONNECTIONS = 32;
 constexpr std::string_view CHANGES = "/v1/changes/";
 
-//! Waits for the callback of `start` and resumes on the thread of `context`.
-template <typename Result, typename Start>
-auto awaitCallback(asio::io_context &context, Start start) -> asio::awaitable<Result>
-{
-    co_return co_await asio::async_initiate<const asio::use_awaitable_t<> &, void(Result)>(
-            [&context, start = std::move(start)](auto handler) mutable {
-                auto shared = std::make_shared<decltype(handler)>(std::move(handler));
-                start([&context, shared](Result result) {
-                    asio::post(context, [shared, result = std::move(result)]() mutable {
-                        std::move (*shared)(std::move(result));
-                    });
-                });
-            },
-            asio::use_awaitable);
-}
-
 auto statusOf(change_state state) -> unsigned
 {
     switch (state) {
@@ -91,7 +73,7 @@
 
 operator_server::operator_server(asio::io_context &context, const membership::endpoint &address,
                                  const std::string &operatorKey, fleet_access access)
-    : m_context(context), m_keyDigest(base::sha256(operatorKey)), m_hasKey(!operatorKey.empty()),
+    : m_keyDigest(base::sha256(operatorKey)), m_hasKey(!operatorKey.empty()),
       m_access(std::move(access)),
       m_server(context, address, {MAX_CHANGE_BODY_BYTES, MAX_OPERATOR_CONNECTIONS},
                [this](webapi::request incoming) { return handle(std::move(incoming)); })
@@ -146,8 +128,8 @@
         co_return webapi::response{422, "application/json", toJson(set.error())};
     }
     change_request request{submission->changeId, submission->baseVersion, std::move(*set)};
-    const auto answer = co_await awaitCallback<change_answer>(
-            m_context, [this, &request](std::function<void(change_answer)> done) {
+    const auto answer = co_await base::awaitCallback<change_answer>(
+            [this, &request](std::function<void(change_answer)> done) {
                 m_access.apply(std::move(request), std::move(done));
             });
     co_return webapi::response{statusOf(answer.state), "application/json", toJson(answer)};
@@ -155,8 +137,8 @@
 
 auto operator_server::getChange(std::string changeId) -> asio::awaitable<webapi::response>
 {
-    const auto answer = co_await awaitCallback<change_answer>(
-            m_context, [this, &changeId](std::function<void(change_answer)> done) {
+    const auto answer = co_await base::awaitCallback<change_answer>(
+            [this, &changeId](std::function<void(change_answer)> done) {
                 m_access.changeResult(changeId, std::move(done));
             });
     co_return webapi::response{statusOf(answer.state), "application/json", toJson(answer)};
@@ -164,8 +146,8 @@
 
 auto operator_server::getHistory() -> asio::awaitable<webapi::response>
 {
-    const auto entries = co_await awaitCallback<std::vector<history_entry>>(
-            m_context, [this](std::function<void(std::vector<history_entry>)> done) {
+    const auto entries = co_await base::awaitCallback<std::vector<history_entry>>(
+            [this](std::function<void(std::vector<history_entry>)> done) {
                 m_access.history(std::move(done));
             });
     co_return webapi::response{200, "application/json", toJson(entries)};
@@ -173,8 +155,7 @@
 
 auto operator_server::getStatus() -> asio::awaitable<webapi::response>
 {
-    const auto status = co_await awaitCallback<control_status>(
-            m_context,
+    const auto status = co_await base::awaitCallback<control_status>(
             [this](std::function<void(control_status)> done) { m_access.status(std::move(done)); });
     const json::object body{{"controller", status.isController},
                             {"confirmed", status.isConfirmed},
@@ -205,8 +186,8 @@
     if (!removed || !added) {
         co_return webapi::response{400, "text/plain", "body needs `removed` and `added`\n"};
     }
-    const auto failure = co_await awaitCallback<std::string>(
-            m_context, [&](std::function<void(std::string)> done) {
+    const auto failure =
+            co_await base::awaitCallback<std::string>([&](std::function<void(std::string)> done) {
                 m_access.replaceController(base::node_id(*removed), base::node_id(*added),
                                            std::move(done));
             });
--- a/src/operators/operatorserver.h
+++ b/src/operators/operatorserver.h
@@ -38,7 +38,6 @@
     auto getMembers() const -> webapi::response;
     auto getUpstreams() const -> webapi::response;
 
-    boost::asio::io_context &m_context;
     base::digest256 m_keyDigest;
     bool m_hasKey;
     fleet_access m_access;
