Let a share of requests leave a node whose upstream is free

Cause: at low load each entry node kept all its requests on its own upstream, so no other upstream served those organisations, and the detector took the failures for those of one organisation: evidence stayed at 0.6 to 1.2 with an upstream failing half of its work for 250 requests. Ruled out: the arbiter and the wiring, which were never asked.

--- a/src/policy/internal/selector.cpp
+++ b/src/policy/internal/selector.cpp
@@ -62,8 +62,10 @@
     if (auto *item = state.pickProbe(request, m_settings.probeShare, now)) {
         return take(item, false, true);
     }
-    if (auto *item = state.pickLocal(m_settings.self, request, now)) {
-        return take(item, false, false);
+    const bool isComparison = state.random.chance(m_settings.comparisonShare);
+    auto *local = isComparison ? nullptr : state.pickLocal(m_settings.self, request, now);
+    if (local != nullptr) {
+        return take(local, false, false);
     }
     auto *own = state.pickTwo(state.own, request, now);
     if (own != nullptr && !state.isShort(request, now)) {
--- a/src/policy/selector.h
+++ b/src/policy/selector.h
@@ -30,6 +30,10 @@
     std::uint64_t regionLinkBytesPerSecond = 1'000'000;
     //! Share of idempotent requests that go to an ejected upstream, so that it can prove itself.
     double probeShare = 0.01;
+    //! Share of requests that are not kept on this node although its upstream is free. Without it
+    //! each organisation is served by few upstreams at low load, and a failing one can't be told
+    //! from a failing organisation.
+    double comparisonShare = 0.25;
 
     auto operator<=>(const selector_settings &) const = default;
 };
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -273,6 +273,19 @@
     return answer ? jsonText(answer->body, "leader") : "";
 }
 
+auto fleet::ejectedUpstreams(const std::string &node) -> std::optional<std::size_t>
+{
+    const auto answer = get(node, "/v1/upstreams");
+    const auto object = answer ? webapi::parseObject(answer->body) : std::nullopt;
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto &items = object->at("upstreams").as_array();
+    return std::count_if(items.begin(), items.end(), [](const boost::json::value &item) {
+        return item.at("ejected").as_bool();
+    });
+}
+
 auto fleet::isReady(const std::string &node) -> bool
 {
     const auto answer =
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -88,6 +88,8 @@
     //! Version that a node serves; nothing if it does not answer.
     auto versionOf(const std::string &node) -> std::optional<std::uint64_t>;
     auto leader(const std::string &node) -> std::string;
+    //! Upstreams that a node's view shows as ejected; nothing if it does not answer.
+    auto ejectedUpstreams(const std::string &node) -> std::optional<std::size_t>;
     auto isReady(const std::string &node) -> bool;
 
     //! Applies a set and waits until all nodes are ready.
--- a/tests/process/invarianttest.cpp
+++ b/tests/process/invarianttest.cpp
@@ -355,3 +355,37 @@
     CHECK(refused.has_value());
     CHECK(jsonText(refused->body, "state") != "in_force");
 }
+
+// Guards against a failing upstream that stays in service, and against ejections that go below the
+// floor when most upstreams fail.
+TEST(process, failingUpstreamIsEjectedAndTheFloorHolds)
+{
+    auto &first = addUpstream("a1");
+    auto &second = addUpstream("a2");
+    auto &third = addUpstream("a3");
+    addUpstream("b1");
+    m_fleet.applyAndWait(WIDE);
+    waitUntilServed("a1");
+    http_client client(m_fleet.callerAddress("a1"));
+    // Different targets, because repeated failures of one request count once.
+    int number = 0;
+    const auto sendSome = [&client, &number] {
+        for (int i = 0; i < 20; ++i) {
+            client.send("GET", "/read/" + std::to_string(++number), KEY);
+        }
+    };
+    first.setFailing(true);
+    waitUntil("the failing upstream is ejected", [&] {
+        sendSome();
+        return m_fleet.ejectedUpstreams("b2") == 1;
+    });
+    // Region a announces 12 slots and its floor is 6: with one of three upstreams ejected, a second
+    // ejection would leave 4.
+    second.setFailing(true);
+    third.setFailing(true);
+    const auto end = base::clock::now() + std::chrono::seconds(6);
+    while (base::clock::now() < end) {
+        sendSome();
+        CHECK(m_fleet.ejectedUpstreams("b2") <= 1);
+    }
+}
