Share the wire form of change records; drop an unused hook

The conversion stood in acceptancedriver and acceptancestate; the driver now adds only the reason's text. No module supplied executor_hooks::permit, because the start hook checks crash suspects.

--- a/src/control/acceptancestate.h
+++ b/src/control/acceptancestate.h
@@ -35,6 +35,9 @@
     [[nodiscard]] auto answer() const -> change_answer;
 };
 
+//! Wire form of a record, without the text of the reason. Thread safety: pure.
+auto toWireRecord(const change_record &record) -> wire::change;
+
 //! Replicated state: the result of applying the committed log. Deterministic.
 //! Thread safety of all members: control thread.
 class acceptance_state
--- a/src/control/internal/acceptancedriver.cpp
+++ b/src/control/internal/acceptancedriver.cpp
@@ -18,14 +18,7 @@
 
 auto toChange(const change_record &record) -> wire::change
 {
-    wire::change out;
-    out.id = record.id;
-    out.version = static_cast<std::int64_t>(record.version.version);
-    out.digest = base::toBytes(record.version.digest);
-    out.outcome = static_cast<std::int8_t>(record.outcome);
-    out.reason = static_cast<std::int8_t>(record.reason);
-    out.winner = static_cast<std::int64_t>(record.winner.version);
-    out.winner_digest = base::toBytes(record.winner.digest);
+    auto out = toWireRecord(record);
     out.detail = reasonName(record.reason);
     return out;
 }
--- a/src/control/internal/acceptancestate.cpp
+++ b/src/control/internal/acceptancestate.cpp
@@ -15,19 +15,6 @@
     return static_cast<base::config_version>(value);
 }
 
-auto toWireRecord(const change_record &record) -> wire::change
-{
-    wire::change out;
-    out.id = record.id;
-    out.version = static_cast<std::int64_t>(record.version.version);
-    out.digest = base::toBytes(record.version.digest);
-    out.outcome = static_cast<std::int8_t>(record.outcome);
-    out.reason = static_cast<std::int8_t>(record.reason);
-    out.winner = static_cast<std::int64_t>(record.winner.version);
-    out.winner_digest = base::toBytes(record.winner.digest);
-    return out;
-}
-
 auto digestOrZero(const std::string &bytes) -> base::digest256
 {
     return base::digestFromBytes(bytes).value_or(base::digest256{});
@@ -44,6 +31,19 @@
 
 } // namespace
 
+auto toWireRecord(const change_record &record) -> wire::change
+{
+    wire::change out;
+    out.id = record.id;
+    out.version = static_cast<std::int64_t>(record.version.version);
+    out.digest = base::toBytes(record.version.digest);
+    out.outcome = static_cast<std::int8_t>(record.outcome);
+    out.reason = static_cast<std::int8_t>(record.reason);
+    out.winner = static_cast<std::int64_t>(record.winner.version);
+    out.winner_digest = base::toBytes(record.winner.digest);
+    return out;
+}
+
 auto reasonName(reject_reason reason) -> std::string_view
 {
     constexpr std::array<std::string_view, 7> NAMES{"none",
--- a/src/upstream/hooks.h
+++ b/src/upstream/hooks.h
@@ -62,9 +62,8 @@
 {
     //! Returns true while this node holds a currency lease.
     std::function<bool()> isCurrent;
-    //! Crash fingerprints and the like; called before queueing and again before the start.
-    std::function<base::result<void>(const attempt_request &request)> permit;
-    //! Attempt registry: marks the attempt as started. Called at most once for each attempt.
+    //! Crash suspects and the attempt registry: marks the attempt as started. Called at most once
+    //! for each attempt.
     std::function<base::result<void>(const attempt_request &request)> start;
     std::function<void(const attempt_observation &observation)> onStart;
     std::function<void(const attempt_observation &observation, const attempt_finish &finish)>
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -129,7 +129,7 @@
     if (request.deadline <= base::clock::now()) {
         return base::fail(error_kind::DeadlineBeforeStart);
     }
-    return hooks.permit ? hooks.permit(request) : base::result<void>{};
+    return {};
 }
 
 auto executor_state::run(const attempt_request &request, const body_source &source,
