--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -19,6 +19,9 @@
 #
 # Defines one CppUTest binary, registered with ctest under <name>.
 function(hawthornpick_test)
+    if(NOT HAWTHORNPICK_TESTS)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "NAME" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${ARG_NAME} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/testmain.cpp)
     target_link_libraries(${ARG_NAME} PRIVATE hawthornpick_options ${ARG_DEPENDS} CppUTest)
--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -1,14 +1,19 @@
 #pragma once
 
 #include "app/exitcode.h"
+#include "app/meshadapter.h"
 
 #include <string>
 #include <vector>
 
 namespace hawthornpick::app {
 
+//! Returns the translation to the platform that `mesh` runs on.
+using adapter_factory = std::function<mesh_adapter()>;
+
 //! Parses the arguments and runs one subcommand; writes to standard output and standard error.
 //! Thread safety: call once, from the main thread.
-auto runCommandLine(int argumentCount, char **arguments) -> exit_code;
+auto runCommandLine(int argumentCount, char **arguments, const adapter_factory &makeAdapter)
+        -> exit_code;
 
 } // namespace hawthornpick::app
--- a/src/app/internal/commandline.cpp
+++ b/src/app/internal/commandline.cpp
@@ -7,6 +7,7 @@
 #include <absl/flags/reflection.h>
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <iostream>
 #include <string_view>
 
@@ -26,7 +27,7 @@
 
 namespace {
 
-using run_function = exit_code (*)(const command_options &);
+using run_function = std::function<exit_code(const command_options &)>;
 
 struct subcommand
 {
@@ -36,7 +37,7 @@
     run_function run;
 };
 
-auto subcommands() -> const std::vector<subcommand> &
+auto subcommands(const adapter_factory &makeAdapter) -> std::vector<subcommand>
 {
     static const std::vector<std::string_view> operatorFlags{"operator_address",
                                                              "operator_key_file", "timeout_ms"};
@@ -44,8 +45,14 @@
         extra.insert(extra.end(), operatorFlags.begin(), operatorFlags.end());
         return extra;
     };
-    static const std::vector<subcommand> table{
+    return {
             {"serve", "run a process", {"settings"}, runServe},
+            {"mesh",
+             "run a process of a fleet whose nodes discover each other",
+             {"settings"},
+             [makeAdapter](const command_options &options) {
+                 return runMesh(options, makeAdapter());
+             }},
             {"check", "validate a settings file or a folder", {"settings", "folder"}, runCheck},
             {"apply", "apply a folder of files as one set",
              withOperator({"folder", "change_id", "base_version"}), runApply},
@@ -66,13 +73,12 @@
             {"errors", "print the table of error kinds", {}, runErrors},
             {"version", "print the version", {}, runVersion},
     };
-    return table;
 }
 
-auto usage() -> std::string
+auto usage(const std::vector<subcommand> &table) -> std::string
 {
     std::string text = "usage: hawthornpick SUBCOMMAND [--FLAG=VALUE ...]\n\nsubcommands:\n";
-    for (const auto &item : subcommands()) {
+    for (const auto &item : table) {
         text += "  " + std::string(item.name) + std::string(20 - item.name.size(), ' ')
                 + std::string(item.summary) + "\n";
     }
@@ -91,9 +97,9 @@
     return text;
 }
 
-auto fail(const std::string &message) -> exit_code
+auto fail(const std::string &message, const std::vector<subcommand> &table) -> exit_code
 {
-    std::cerr << "hawthornpick: " << message << "\n" << usage();
+    std::cerr << "hawthornpick: " << message << "\n" << usage(table);
     return exit_code::Usage;
 }
 
@@ -127,21 +133,25 @@
 
 } // namespace
 
-auto runCommandLine(int argumentCount, char **arguments) -> exit_code
+auto runCommandLine(int argumentCount, char **arguments, const adapter_factory &makeAdapter)
+        -> exit_code
 {
+    const auto table = subcommands(makeAdapter);
     if (argumentCount < 2) {
-        return fail("a subcommand is missing");
+        return fail("a subcommand is missing", table);
     }
     const std::string_view name = arguments[1];
-    if (name == "--help" || name == "help") {
-        std::cout << usage();
+    if (name == "--help" || name == "-h" || name == "help") {
+        std::cout << usage(table);
         return exit_code::Success;
     }
-    const auto &table = subcommands();
+    if (name == "--version") {
+        return runVersion({});
+    }
     const auto item = std::find_if(table.begin(), table.end(),
                                    [name](const subcommand &entry) { return entry.name == name; });
     if (item == table.end()) {
-        return fail("`" + std::string(name) + "` is not a subcommand");
+        return fail("`" + std::string(name) + "` is not a subcommand", table);
     }
     std::vector<char *> rest{arguments[0]};
     for (int i = 2; i < argumentCount; ++i) {
@@ -154,13 +164,14 @@
         const bool known =
                 std::find(item->flags.begin(), item->flags.end(), flag) != item->flags.end();
         if (argument.starts_with('-') && !known) {
-            return fail("`" + std::string(argument) + "` is not a flag of " + std::string(name));
+            return fail("`" + std::string(argument) + "` is not a flag of " + std::string(name),
+                        table);
         }
         rest.push_back(arguments[i]);
     }
     const auto positional = absl::ParseCommandLine(static_cast<int>(rest.size()), rest.data());
     if (positional.size() > 1) {
-        return fail("argument `" + std::string(positional[1]) + "` is not expected");
+        return fail("argument `" + std::string(positional[1]) + "` is not expected", table);
     }
     return item->run(currentOptions());
 }
--- a/src/app/internal/commands.h
+++ b/src/app/internal/commands.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/exitcode.h"
+#include "app/meshadapter.h"
 #include "config/settings.h"
 
 #include <optional>
@@ -28,6 +29,7 @@
 
 //! Subcommands. Thread safety of all: main thread.
 auto runServe(const command_options &options) -> exit_code;
+auto runMesh(const command_options &options, mesh_adapter adapter) -> exit_code;
 auto runCheck(const command_options &options) -> exit_code;
 auto runApply(const command_options &options) -> exit_code;
 auto runChange(const command_options &options) -> exit_code;
--- a/src/app/internal/healthcontrol.cpp
+++ b/src/app/internal/healthcontrol.cpp
@@ -33,6 +33,7 @@
     // The caller chose the deadline, so a short one says nothing about the upstream.
     case attempt_ending::DeadlinePassed:
     case attempt_ending::Cancelled:
+    case attempt_ending::Refused:
         return policy::attempt_outcome::Cancelled;
     }
     return policy::attempt_outcome::Cancelled;
--- /dev/null
+++ b/src/app/internal/meshnode.cpp
@@ -0,0 +1,309 @@
+#include "app/meshnode.h"
+
+#include "app/internal/meshcontrol.h"
+#include "app/internal/peeracceptor.h"
+#include "base/log.h"
+#include "base/random.h"
+#include "caller/callerserver.h"
+#include "policy/placement.h"
+#include "status/statusserver.h"
+#include "upstream/upstreamservice.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+
+namespace hawthornpick::app {
+
+namespace {
+
+namespace asio = boost::asio;
+
+//! Time after a request to stop for which other nodes may still send work, so that they learn of it
+//! from the directory instead of from refusals.
+constexpr base::milliseconds LEAVE_NOTICE{500};
+//! Callers of this host learn from two missed readiness checks, one a second, that they should go
+//! elsewhere; until then the node takes their connections.
+constexpr base::milliseconds CALLER_NOTICE{2600};
+constexpr base::milliseconds DRAIN_POLL_INTERVAL{20};
+//! Interval of the work that waits for nothing else: expiry of registrations and of waiting
+//! requests.
+constexpr base::milliseconds CARE_INTERVAL{50};
+//! Registrations that fail to come before an upstream counts as gone. They may be seconds late.
+constexpr int MISSED_HEARTBEATS = 8;
+//! Longest answer that is kept until it is complete; longer ones are passed on as they arrive.
+constexpr std::size_t COLLECTED_ANSWER_BYTES = 1024UL * 1024;
+constexpr unsigned MAX_PLACEMENTS = 6;
+
+auto identityOf(const config::mesh_settings &settings) -> peer::link_identity
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto incarnation = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    return {fleet::nodeAt({settings.address, settings.peerPort}),
+            static_cast<base::incarnation>(incarnation), settings.fleetSecret, settings.address};
+}
+
+auto placementSettings(const config::mesh_settings &settings) -> policy::placement_settings
+{
+    return {fleet::nodeAt({settings.address, settings.peerPort}), settings.region,
+            settings.failureDomain};
+}
+
+} // namespace
+
+class mesh_node_state
+{
+public:
+    mesh_node_state(asio::io_context &context, const config::mesh_settings &settings,
+                    mesh_adapter adapter)
+        : m_context(context), m_settings(settings), m_adapter(std::move(adapter)),
+          m_identity(identityOf(settings)),
+          m_configuration(std::make_shared<const config::snapshot>()),
+          m_fleet(std::make_shared<const membership::view>()),
+          m_placement(placementSettings(settings), base::systemSeed()),
+          m_control(context, settings, m_adapter, m_identity, m_metrics, controlSinks()),
+          m_upstreams({&context}, {}, upstreamDependencies()),
+          m_links(context, m_identity,
+                  [this](peer::stream_pointer incoming) {
+                      m_upstreams.executorOf(0).serve(std::move(incoming));
+                  },
+                  [this](const base::node_id &from, base::channel kind, std::string payload) {
+                      m_control.runtime().deliver(from, kind, std::move(payload));
+                  }),
+          m_acceptor(std::make_shared<peer_acceptor>(
+                  std::vector{&context}, std::vector{&m_links},
+                  membership::endpoint{settings.address, settings.peerPort})),
+          m_careTimer(context)
+    {
+        if (!settings.callerAddress.address.empty()) {
+            m_callers.emplace(std::vector{&context}, settings.callerAddress, callerDependencies());
+        }
+        if (!settings.statusAddress.address.empty()) {
+            m_status.emplace(context, settings.statusAddress, m_metrics,
+                             [this] { return readiness(); });
+        }
+    }
+
+    auto start() -> void
+    {
+        m_acceptor->start();
+        m_control.start();
+        m_servers.emplace(m_adapter.serve(m_context, m_settings, access()));
+        care();
+    }
+
+    auto reload(const config::mesh_settings &settings) -> void
+    {
+        m_settings.seeds = settings.seeds;
+        m_settings.service = settings.service;
+        m_control.setSeeds(settings.seeds);
+    }
+
+    auto drain(const std::function<void()> &done) -> void
+    {
+        if (std::exchange(m_isDraining, true)) {
+            return;
+        }
+        m_control.leave();
+        waitThen(LEAVE_NOTICE, [this] {
+            m_links.drain();
+            m_upstreams.drain();
+        });
+        if (!m_callers) {
+            waitThen(LEAVE_NOTICE, [this, done] { waitForExecutor(done); });
+            return;
+        }
+        waitThen(CALLER_NOTICE, [this, done] {
+            m_callers->drain([this, done] { waitForExecutor(done); });
+        });
+    }
+
+    [[nodiscard]] auto openConnections() const -> std::size_t
+    {
+        return m_callers ? m_callers->connectionCount() : 0;
+    }
+
+private:
+    auto controlSinks() -> mesh_control_sinks
+    {
+        mesh_control_sinks sinks;
+        sinks.onConfiguration = [this](config::snapshot_pointer snapshot) {
+            m_configuration.store(std::move(snapshot));
+        };
+        sinks.onView = [this](membership::view_pointer view) {
+            m_fleet.store(std::move(view));
+        };
+        sinks.onTotals = [](const fleet::demand_map & /*totals*/) {
+        };
+        sinks.demands = [] {
+            return fleet::demand_map{};
+        };
+        return sinks;
+    }
+
+    auto upstreamDependencies() -> upstream::service_dependencies
+    {
+        return {m_identity.node,
+                m_identity.incarnation,
+                m_configuration,
+                {},
+                [this](const std::vector<membership::upstream_entry> &entries) {
+                    m_control.setUpstreams(entries);
+                },
+                m_adapter.wire,
+                false,
+                m_settings.heartbeat * MISSED_HEARTBEATS};
+    }
+
+    auto callerDependencies() -> caller::server_dependencies
+    {
+        return {m_identity.node, m_configuration, m_fleet,      m_upstreams,
+                {&m_links},      m_metrics,       entryHooks(), m_settings.maxCallerConnections,
+                m_adapter.wire};
+    }
+
+    auto entryHooks() -> caller::entry_hooks
+    {
+        caller::entry_hooks hooks;
+        hooks.select = [this](const caller::selection_request &request) {
+            return select(request);
+        };
+        hooks.onAttemptEnd = [this](const caller::attempt_report &report) {
+            onAttemptEnd(report);
+        };
+        hooks.callerService = [this] {
+            return m_settings.service;
+        };
+        hooks.rules = {true, MAX_PLACEMENTS, false, COLLECTED_ANSWER_BYTES, true};
+        return hooks;
+    }
+
+    auto select(const caller::selection_request &request) -> base::result<caller::chosen_node>
+    {
+        const policy::placement_request wanted{request.service.id, request.route,
+                                               request.idempotent, request.bodyBytes,
+                                               request.excluded,   request.target,
+                                               request.deadline};
+        const auto node = m_placement.choose(request.view, wanted, base::clock::now());
+        if (!node) {
+            return tl::unexpected(node.error());
+        }
+        return caller::chosen_node{(*node)->id, 0, (*node)->peerAddress};
+    }
+
+    auto onAttemptEnd(const caller::attempt_report &report) -> void
+    {
+        m_placement.onEnd(report.chosen.id, report.service, report.failure, report.load,
+                          base::clock::now());
+        if (!report.failure) {
+            m_placement.onAnswerBytes(report.route, report.answerBytes);
+        }
+    }
+
+    auto access() -> mesh_access
+    {
+        mesh_access out;
+        out.announce = [this](const upstream::announcement &what) {
+            return m_upstreams.registry().announce(what, base::clock::now());
+        };
+        out.withdraw = [this](const std::string &name) {
+            return m_upstreams.registry().withdraw(name);
+        };
+        out.isReady = [this] {
+            return !m_isDraining && m_configuration.load()->version() > 0;
+        };
+        if (m_control.keepsConfiguration()) {
+            out.change = [this](quorum::config_change wanted) {
+                return m_control.change(std::move(wanted));
+            };
+            out.read = [this] {
+                return m_control.read();
+            };
+        }
+        return out;
+    }
+
+    auto readiness() const -> std::vector<status::readiness_check>
+    {
+        return {{"configured", m_configuration.load()->version() > 0},
+                {"accepting", !m_isDraining}};
+    }
+
+    auto care() -> void
+    {
+        const auto now = base::clock::now();
+        m_upstreams.registry().expire(now);
+        for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
+            queue->expire(now);
+        }
+        m_careTimer.expires_after(CARE_INTERVAL);
+        m_careTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error) {
+                care();
+            }
+        });
+    }
+
+    auto waitForExecutor(const std::function<void()> &done) -> void
+    {
+        if (m_upstreams.executorOf(0).activeCount() == 0) {
+            done();
+            return;
+        }
+        waitThen(DRAIN_POLL_INTERVAL, [this, done] { waitForExecutor(done); });
+    }
+
+    auto waitThen(base::milliseconds span, std::function<void()> action) -> void
+    {
+        auto timer = std::make_shared<asio::steady_timer>(m_context, span);
+        timer->async_wait([timer, action = std::move(action)](const auto & /*failure*/) {
+            action();
+        });
+    }
+
+    asio::io_context &m_context;
+    config::mesh_settings m_settings;
+    mesh_adapter m_adapter;
+    peer::link_identity m_identity;
+    base::metrics m_metrics;
+    bool m_isDraining = false;
+    config::snapshot_cell m_configuration;
+    base::snapshot_cell<membership::view> m_fleet;
+    policy::placement m_placement;
+    mesh_control m_control;
+    upstream::upstream_service m_upstreams;
+    peer::link_pool m_links;
+    std::shared_ptr<peer_acceptor> m_acceptor;
+    std::optional<caller::caller_server> m_callers;
+    std::optional<status::status_server> m_status;
+    std::optional<adapter_servers> m_servers;
+    asio::steady_timer m_careTimer;
+};
+
+mesh_node::mesh_node(asio::io_context &context, const config::mesh_settings &settings,
+                     mesh_adapter adapter)
+    : m_state(std::make_unique<mesh_node_state>(context, settings, std::move(adapter)))
+{}
+
+mesh_node::~mesh_node() = default;
+
+auto mesh_node::start() -> void
+{
+    m_state->start();
+}
+
+auto mesh_node::reload(const config::mesh_settings &settings) -> void
+{
+    m_state->reload(settings);
+}
+
+auto mesh_node::drain(std::function<void()> done) -> void
+{
+    m_state->drain(done);
+}
+
+auto mesh_node::openConnections() const -> std::size_t
+{
+    return m_state->openConnections();
+}
+
+} // namespace hawthornpick::app
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -9,7 +9,7 @@
 #include "caller/callerserver.h"
 #include "caller/wiring.h"
 #include "operators/operatorserver.h"
-#include "platform/platformserver.h"
+#include "status/statusserver.h"
 #include "upstream/upstreamservice.h"
 #include "upstream/wiring.h"
 
@@ -59,7 +59,7 @@
           m_callers(m_io.contexts(), settings.callerAddress, callerDependencies()),
           m_operators(*m_admin.contexts().front(), settings.operatorAddress, settings.operatorKey,
                       m_control.operatorAccess()),
-          m_platform(*m_admin.contexts().front(), settings.platformAddress, m_metrics,
+          m_status(*m_admin.contexts().front(), settings.statusAddress, m_metrics,
                      [this] { return readiness(); })
     {
         m_health.setRegistry(m_upstreams.registry());
@@ -174,7 +174,7 @@
                 std::move(hooks),  m_settings.maxCallerConnections};
     }
 
-    auto readiness() const -> std::vector<platform::readiness_check>
+    auto readiness() const -> std::vector<status::readiness_check>
     {
         return {{"config_current", m_control.isCurrent()},
                 {"configured", m_control.configuration().load()->version() > 0},
@@ -238,7 +238,7 @@
     std::shared_ptr<peer_acceptor> m_acceptor;
     caller::caller_server m_callers;
     operators::operator_server m_operators;
-    platform::platform_server m_platform;
+    status::status_server m_status;
 };
 
 node::node(const config::settings &settings) : m_state(std::make_unique<node_state>(settings)) {}
--- a/src/base/errorkind.h
+++ b/src/base/errorkind.h
@@ -51,10 +51,13 @@
     TooManyConnections,
     CallerGone,
     InternalError,
+    UpstreamRefused,
+    UpstreamSuspected,
+    Overloaded,
 };
 
 inline constexpr std::size_t ERROR_KIND_COUNT =
-        static_cast<std::size_t>(error_kind::InternalError) + 1;
+        static_cast<std::size_t>(error_kind::Overloaded) + 1;
 
 //! What is known about the execution of a request that got an error.
 enum class outcome : std::uint8_t {
--- a/src/base/internal/errorkind.cpp
+++ b/src/base/internal/errorkind.cpp
@@ -81,6 +81,12 @@
          "The caller closed its connection before the answer was complete."},
         {InternalError, 500, "internal_error", outcome::Unknown, false,
          "An unexpected error inside the node."},
+        {UpstreamRefused, 503, "upstream_refused", outcome::NotRun, true,
+         "The upstream answered that it did not run the request."},
+        {UpstreamSuspected, 503, "upstream_suspected", outcome::NotRun, true,
+         "The chosen upstream probably does not answer at present."},
+        {Overloaded, 503, "overloaded", outcome::NotRun, true,
+         "No upstream of the service can serve the request in its time."},
 }};
 
 } // namespace
--- a/src/base/message.h
+++ b/src/base/message.h
@@ -21,6 +21,9 @@
     Fence = 9,
     CrashReport = 10,
     Baseline = 11,
+    Quorum = 12,
+    Directory = 13,
+    Health = 14,
 };
 
 //! A message that a decision object asks the control runtime to send.
--- a/src/caller/callerserver.h
+++ b/src/caller/callerserver.h
@@ -5,6 +5,7 @@
 #include "config/snapshot.h"
 #include "peer/link.h"
 #include "upstream/upstreamservice.h"
+#include "upstream/wireprofile.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -25,6 +26,7 @@
     base::metrics &metrics;
     entry_hooks hooks;
     std::uint32_t maxConnections = 2000;
+    upstream::wire_profile wire = {};
 };
 
 class caller_server_state;
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -28,6 +28,10 @@
     base::route_id route;
     //! Identifies the request for crash suspects.
     base::digest256 fingerprint;
+    base::time_point arrival;
+    base::time_point deadline;
+    //! Time of an answer that has its full value.
+    base::time_point target;
 };
 
 //! The node that is to execute an attempt.
@@ -50,6 +54,47 @@
     std::optional<base::error_kind> failure;
     std::optional<policy::service_load> load;
     base::duration elapsed{};
+    base::route_id route;
+    std::string requestId;
+    //! Status of the answer, 0 without one.
+    unsigned status = 0;
+    std::size_t answerBytes = 0;
+    bool idempotent = false;
+};
+
+//! How the attempts of one request follow each other.
+struct attempt_rules
+{
+    //! Attempts that were refused before start count neither against the limit of attempts nor
+    //! against the retry budget.
+    bool refusalsAreFree = false;
+    //! Attempts of one request, refused ones included.
+    unsigned maxPlacements = 10;
+    bool pausesBeforeRetry = true;
+    //! Answers up to this length are kept until they are complete; 0 passes all on at once.
+    std::size_t collectedBytes = 0;
+    //! Answers with a status from 500 to idempotent requests are repeated.
+    bool repeatsServerErrors = false;
+
+    auto operator<=>(const attempt_rules &) const = default;
+};
+
+//! End of a request, for logs and measurements.
+struct request_report
+{
+    std::string requestId;
+    base::organisation_id organisation;
+    base::route_id route;
+    base::service_id service;
+    base::config_version version = 0;
+    bool idempotent = false;
+    unsigned attempts = 0;
+    //! Status of the answer, 0 if the caller was gone.
+    unsigned status = 0;
+    std::optional<base::error> failure;
+    base::milliseconds retryAfter{0};
+    base::duration elapsed{};
+    bool isLate = false;
 };
 
 //! Decision of the rate limit.
@@ -122,6 +167,19 @@
     std::function<bool(const config::service &service, const base::organisation_id &organisation)>
             spendRetry;
     std::function<void(const attempt_report &report)> onAttemptEnd;
+    //! Chooses the service of a request whose route divides its requests; otherwise the route's.
+    std::function<base::service_id(const config::route &route)> chooseService;
+    //! Returns the time after which an idempotent request without an answer is worth another
+    //! attempt beside the first; without the function there is none.
+    std::function<base::duration(const selection_request &request, const chosen_node &chosen)>
+            repeatAfter;
+    //! Time after which a caller should come back after a refusal.
+    std::function<base::milliseconds(const base::error &why, const selection_request &request)>
+            retryAfter;
+    std::function<void(const request_report &report)> onRequestEnd;
+    //! Name of the service of this host, told to upstreams.
+    std::function<base::service_id()> callerService;
+    attempt_rules rules;
     //! Returns true if the attempt was proved not to have started and never will.
     std::function<boost::asio::awaitable<bool>(base::attempt_id attempt, chosen_node chosen)> fence;
     idempotency_hooks idempotency;
--- a/src/caller/internal/answerwriter.cpp
+++ b/src/caller/internal/answerwriter.cpp
@@ -39,12 +39,19 @@
     }
 }
 
-auto retrySeconds(const base::error_answer &row, base::milliseconds retryAfter) -> std::int64_t
+// Value of Retry-After; empty if the answer has none.
+auto retryText(const base::error_answer &row, unsigned status, base::milliseconds retryAfter,
+               const upstream::wire_profile &wire) -> std::string
 {
-    if (!row.mayRetry || (row.httpStatus != 429 && row.httpStatus != 503)) {
-        return 0;
+    if (!row.mayRetry || (status != 429 && status != 503)) {
+        return {};
     }
-    return std::max<std::int64_t>((retryAfter.count() + 999) / 1000, 1);
+    if (!wire.hasFractionalRetryAfter) {
+        return std::to_string(std::max<std::int64_t>((retryAfter.count() + 999) / 1000, 1));
+    }
+    const auto whole = std::to_string(retryAfter.count() / 1000);
+    const auto fraction = std::to_string(1000 + retryAfter.count() % 1000).substr(1);
+    return whole + "." + fraction;
 }
 
 auto errorBody(const base::error_answer &row, const std::string &requestId) -> std::string
@@ -61,19 +68,21 @@
 } // namespace
 
 auto formatErrorAnswer(const base::error &failure, base::milliseconds retryAfter,
-                       const answer_style &style) -> std::string
+                       const answer_style &style, const upstream::wire_profile &wire)
+        -> std::string
 {
     const auto &row = base::answerFor(failure.kind);
+    const auto status = wire.statusOf(failure.kind);
     const auto body = errorBody(row, style.requestId);
     std::string out;
-    appendStatusLine(out, row.httpStatus);
+    appendStatusLine(out, status);
     appendHeader(out, "X-Hawthornpick-Reason", row.reason);
     appendHeader(out, "X-Hawthornpick-Outcome", base::outcomeName(row.result));
-    appendHeader(out, "X-Request-Id", style.requestId);
-    if (const auto seconds = retrySeconds(row, retryAfter); seconds > 0) {
-        appendHeader(out, "Retry-After", std::to_string(seconds));
+    appendHeader(out, wire.requestId, style.requestId);
+    if (const auto text = retryText(row, status, retryAfter, wire); !text.empty()) {
+        appendHeader(out, "Retry-After", text);
     }
-    if (row.httpStatus == 401) {
+    if (status == 401) {
         appendHeader(out, "WWW-Authenticate", "Bearer");
     }
     appendHeader(out, "Content-Type", "application/json");
@@ -86,8 +95,8 @@
     return out;
 }
 
-answer_writer::answer_writer(caller_input &input)
-    : m_input(input), m_timer(input.socket().get_executor())
+answer_writer::answer_writer(caller_input &input, const upstream::wire_profile &wire)
+    : m_input(input), m_wire(wire), m_timer(input.socket().get_executor())
 {}
 
 auto answer_writer::begin(unsigned status) -> void
@@ -133,7 +142,9 @@
     out.reserve(start.headers.size() + start.body.size() + 256);
     appendStatusLine(out, start.status);
     out.append(start.headers);
-    appendHeader(out, "X-Request-Id", m_style.requestId);
+    if (!m_wire.echoesRequestId) {
+        appendHeader(out, m_wire.requestId, m_style.requestId);
+    }
     appendFraming(out, start);
     appendConnection(out, m_style);
     out.append("\r\n");
@@ -173,8 +184,8 @@
 auto answer_writer::error(const base::error &failure, base::milliseconds retryAfter)
         -> asio::awaitable<base::result<void>>
 {
-    begin(base::answerFor(failure.kind).httpStatus);
-    return write(formatErrorAnswer(failure, retryAfter, m_style));
+    begin(m_wire.statusOf(failure.kind));
+    return write(formatErrorAnswer(failure, retryAfter, m_style, m_wire));
 }
 
 auto answer_writer::sendContinue() -> asio::awaitable<base::result<void>>
--- a/src/caller/internal/answerwriter.h
+++ b/src/caller/internal/answerwriter.h
@@ -5,6 +5,7 @@
 #include "caller/internal/callerinput.h"
 #include "caller/internal/requesthead.h"
 #include "upstream/exchange.h"
+#include "upstream/wireprofile.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <string>
@@ -23,7 +24,8 @@
 //! Returns an error answer with the reason and outcome headers and a JSON body.
 //! Thread safety: pure.
 auto formatErrorAnswer(const base::error &failure, base::milliseconds retryAfter,
-                       const answer_style &style) -> std::string;
+                       const answer_style &style, const upstream::wire_profile &wire)
+        -> std::string;
 
 //! Writes one answer to a caller.
 class answer_writer
@@ -32,8 +34,8 @@
     //! Longest time for which a caller may take no bytes of an answer.
     static constexpr base::milliseconds WRITE_LIMIT{10'000};
 
-    //! Precondition: `input` outlives the writer.
-    explicit answer_writer(caller_input &input);
+    //! Precondition: the arguments outlive the writer.
+    answer_writer(caller_input &input, const upstream::wire_profile &wire);
 
     //! Call before the first answer bytes.
     auto setStyle(answer_style style) -> void { m_style = std::move(style); }
@@ -69,6 +71,7 @@
     auto appendFraming(std::string &out, const upstream::answer_start &start) -> void;
 
     caller_input &m_input;
+    const upstream::wire_profile &m_wire;
     upstream::deadline_timer m_timer;
     answer_style m_style;
     std::function<void()> m_onStart;
--- a/src/caller/internal/callerserver.cpp
+++ b/src/caller/internal/callerserver.cpp
@@ -122,7 +122,8 @@
         auto owner = std::make_unique<entry>(
                 entry_dependencies{m_dependencies.node, m_dependencies.configuration,
                                    m_dependencies.fleet, m_dependencies.upstreams.executorOf(index),
-                                   remote.get(), m_dependencies.metrics, m_dependencies.hooks},
+                                   remote.get(), m_dependencies.metrics, m_dependencies.hooks,
+                                   m_dependencies.wire},
                 base::systemSeed());
         auto group = std::make_shared<connection_group>(
                 connection_group{*owner, [this] { onClosed(); }, {}, {}});
--- a/src/caller/internal/connection.cpp
+++ b/src/caller/internal/connection.cpp
@@ -129,14 +129,15 @@
     auto serveOne() -> asio::awaitable<bool>
     {
         request_parser parser;
-        answer_writer writer(*m_input);
+        answer_writer writer(*m_input, m_group.owner.dependencies().wire);
         writer.setStyle({false, false, false, {}});
         const auto parsed = co_await parseHead(parser);
         if (!parsed) {
             co_return co_await refuse(writer, parsed.error());
         }
         const auto head = readHead(parser.get().base());
-        auto id = requestIdFor(parser.get().base(), m_group.owner.random());
+        auto id = requestIdFor(parser.get().base(), m_group.owner.dependencies().wire,
+                               m_group.owner.random());
         if (!head) {
             writer.setStyle({false, false, false, std::move(id)});
             co_return co_await refuse(writer, head.error());
@@ -200,7 +201,7 @@
         -> asio::awaitable<void>
 {
     const auto input = std::make_shared<caller_input>(std::move(socket));
-    answer_writer writer(*input);
+    answer_writer writer(*input, group->owner.dependencies().wire);
     writer.setStyle({false, false, false, {}});
     const base::error failure{error_kind::TooManyConnections, {}};
     co_await writer.error(failure, base::milliseconds(0));
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -36,36 +36,6 @@
               });
 }
 
-// Kinds after which another node or another moment may succeed. The others say something about the
-// request itself or about its remaining time.
-auto isRetryable(error_kind kind) -> bool
-{
-    switch (kind) {
-    case error_kind::ConfigNotCurrent:
-    case error_kind::NoUpstream:
-    case error_kind::UpstreamEjected:
-    case error_kind::UpstreamDraining:
-    case error_kind::IncarnationChanged:
-    case error_kind::QueueFull:
-    case error_kind::UpstreamUnreachable:
-    case error_kind::UpstreamFailed:
-    case error_kind::UpstreamTimeout:
-    case error_kind::PeerUnreachable:
-    case error_kind::OutcomeUnknown:
-    case error_kind::ShuttingDown:
-        return true;
-    default:
-        return false;
-    }
-}
-
-// Failures of one upstream, not of the node beside it.
-auto isUpstreamFailure(error_kind kind) -> bool
-{
-    return kind == error_kind::UpstreamUnreachable || kind == error_kind::UpstreamFailed
-           || kind == error_kind::UpstreamTimeout;
-}
-
 auto isNotRun(error_kind kind) -> bool
 {
     return base::answerFor(kind).result == base::outcome::NotRun;
@@ -86,14 +56,76 @@
     co_return upstream::attempt_result{base::error{error_kind::PeerUnreachable, {}}, false, {}};
 }
 
+auto sinkOf(attempt &item) -> upstream::answer_sink
+{
+    return {[&item](upstream::answer_start start) { return item.answer.start(std::move(start)); },
+            [&item](std::string part) {
+                return item.answer.data(std::move(part));
+            }};
+}
+
+auto runOnNode(entry_dependencies dependencies, attempt &item, upstream::body_source source)
+        -> asio::awaitable<upstream::attempt_result>
+{
+    const auto sink = sinkOf(item);
+    const auto &chosen = item.chosen;
+    if (chosen.id == dependencies.node) {
+        co_return co_await dependencies.local.run(item.request, source, sink, item.cancel);
+    }
+    if (dependencies.remote == nullptr) {
+        co_return co_await unreachable();
+    }
+    const upstream::remote_node target{chosen.id, chosen.address, chosen.incarnation};
+    co_return co_await dependencies.remote->run(target, item.request, source, sink, item.cancel);
+}
+
+auto reportOf(const attempt &item, const upstream::attempt_result &result) -> attempt_report
+{
+    const auto kind = result.failure ? std::optional(result.failure->kind) : std::nullopt;
+    return {item.request.service,
+            item.request.organisation,
+            item.chosen,
+            kind,
+            result.load,
+            base::clock::now() - item.started,
+            item.request.route,
+            item.request.requestId,
+            item.answer.status(),
+            item.answer.bytes(),
+            item.request.idempotent};
+}
+
+// Reports each attempt at its end, also one that nobody waits for any more.
+auto runOn(entry_dependencies dependencies, attempt &item, upstream::body_source source)
+        -> asio::awaitable<upstream::attempt_result>
+{
+    auto result = co_await runOnNode(dependencies, item, std::move(source));
+    const auto &onAttemptEnd = dependencies.hooks.onAttemptEnd;
+    if (onAttemptEnd) {
+        onAttemptEnd(reportOf(item, result));
+    }
+    co_return result;
+}
+
+auto runFunction(const entry_dependencies &dependencies) -> attempt_set::run_function
+{
+    return [dependencies](attempt &item, const upstream::body_source &source) {
+        return runOn(dependencies, item, source);
+    };
+}
+
 } // namespace
 
-auto requestIdFor(const request_fields &fields, base::random_source &random) -> std::string
+auto requestIdFor(const request_fields &fields, const upstream::wire_profile &wire,
+                  base::random_source &random) -> std::string
 {
-    const auto given = singleValue(fields, "X-Request-Id");
+    const auto given = singleValue(fields, wire.requestId);
     if (given && isRequestId(*given)) {
         return std::string(*given);
     }
+    if (wire.needsRequestId) {
+        return {};
+    }
     std::array<char, 16> digits{};
     const auto end =
             std::to_chars(digits.data(), digits.data() + digits.size(), random.bits(), 16).ptr;
@@ -108,7 +140,8 @@
 entry_request::entry_request(entry &owner, caller_input &input, request_parser &parser,
                              const request_head &head, answer_writer &writer, std::string requestId)
     : m_owner(owner), m_input(input), m_parser(parser), m_head(head), m_writer(writer),
-      m_arrival(base::clock::now()), m_snapshot(owner.configuration())
+      m_arrival(base::clock::now()), m_snapshot(owner.configuration()),
+      m_attempts(input.socket().get_executor(), runFunction(owner.dependencies()))
 {
     m_request.requestId = std::move(requestId);
 }
@@ -116,6 +149,7 @@
 auto entry_request::run() -> asio::awaitable<bool>
 {
     const auto refused = co_await process();
+    reportEnd(refused);
     if (!refused) {
         co_return m_parser.is_done();
     }
@@ -138,6 +172,32 @@
     co_return written.has_value();
 }
 
+auto entry_request::reportEnd(const refusal_or_done &refused) const -> void
+{
+    const auto &onRequestEnd = m_owner.dependencies().hooks.onRequestEnd;
+    if (!onRequestEnd) {
+        return;
+    }
+    request_report report;
+    report.requestId = m_request.requestId;
+    report.organisation = m_request.organisation;
+    report.route = m_route == nullptr ? base::route_id() : m_route->id;
+    report.service = m_service.id;
+    report.version = m_snapshot->version();
+    report.idempotent = m_request.idempotent;
+    report.attempts = m_placements;
+    report.elapsed = base::clock::now() - m_arrival;
+    report.isLate = m_route != nullptr && base::clock::now() > selection().target;
+    if (refused) {
+        report.failure = refused->what;
+        report.retryAfter = refused->retryAfter;
+        report.status = m_owner.dependencies().wire.statusOf(refused->what.kind);
+    } else {
+        report.status = m_writer.status();
+    }
+    onRequestEnd(report);
+}
+
 auto entry_request::process() -> asio::awaitable<refusal_or_done>
 {
     if (auto refused = co_await admit()) {
@@ -168,7 +228,10 @@
 
 auto entry_request::checkNode() -> refusal_or_done
 {
-    if (m_head.keyInQuery) {
+    if (m_request.requestId.empty()) {
+        return refuse(error_kind::BadRequest, "the request has no id");
+    }
+    if (m_head.keyInQuery && m_owner.dependencies().wire.refusesKeysInTarget) {
         return refuse(error_kind::KeyInQuery);
     }
     if (m_snapshot->version() == 0) {
@@ -191,7 +254,9 @@
     if (m_head.contentLength > m_route->maxBodyBytes) {
         return refuse(error_kind::BodyTooLarge);
     }
-    const auto *service = m_snapshot->serviceById(m_route->service);
+    const auto &chooseService = m_owner.dependencies().hooks.chooseService;
+    const auto wanted = chooseService ? chooseService(*m_route) : m_route->service;
+    const auto *service = m_snapshot->serviceById(wanted);
     if (service == nullptr) {
         return refuse(error_kind::NoUpstream);
     }
@@ -252,7 +317,7 @@
 auto entry_request::deadline() const -> base::time_point
 {
     auto limit = m_route->deadline;
-    if (const auto text = singleValue(m_parser.get().base(), "X-Request-Deadline-Ms")) {
+    if (const auto text = singleValue(m_parser.get().base(), m_owner.dependencies().wire.deadline)) {
         std::int64_t wanted = 0;
         const auto [end, error] =
                 std::from_chars(text->data(), text->data() + text->size(), wanted);
@@ -285,12 +350,20 @@
     boost::system::error_code ignored;
     const auto address = m_input.socket().remote_endpoint(ignored).address().to_string();
     m_request.configVersion = m_snapshot->version();
-    m_request.service = m_route->service;
+    m_request.service = m_service.id;
     m_request.route = m_route->id;
     m_request.idempotent = m_route->idempotent;
     m_request.method = m_head.method;
     m_request.target = m_head.target;
-    m_request.headers = cleanHeaders(m_parser.get().base(), m_head, address);
+    const auto &wire = m_owner.dependencies().wire;
+    m_request.headers = cleanHeaders(m_parser.get().base(), m_head, wire, address);
+    if (!wire.organisation.empty() && !m_request.organisation.empty()) {
+        upstream::appendHeader(m_request.headers, wire.organisation, m_request.organisation.str());
+    }
+    const auto &callerService = m_owner.dependencies().hooks.callerService;
+    if (!wire.callerService.empty() && callerService) {
+        upstream::appendHeader(m_request.headers, wire.callerService, callerService().str());
+    }
     m_request.bodyComplete = m_body->complete();
     if (m_request.bodyComplete) {
         m_request.contentLength = body.size();
@@ -310,181 +383,6 @@
     co_return refused;
 }
 
-// A later refusal before start does not undo an earlier attempt.
-auto entry_request::finalRefusal(base::error what) const -> refusal
-{
-    if (m_mayHaveRun && isNotRun(what.kind)) {
-        return {{error_kind::OutcomeUnknown, std::string(base::answerFor(what.kind).reason)}, {}};
-    }
-    return {std::move(what), {}};
-}
-
-auto entry_request::runAttempts() -> asio::awaitable<refusal_or_done>
-{
-    const auto &hooks = m_owner.dependencies().hooks;
-    if (hooks.onFirstAttempt) {
-        hooks.onFirstAttempt(m_service, m_request.organisation);
-    }
-    while (true) {
-        const auto chosen = choose();
-        if (!chosen) {
-            // The refusal of the last attempt says more than the lack of another node.
-            co_return finalRefusal(m_lastFailure.value_or(chosen.error()));
-        }
-        nameAttempt(*chosen);
-        if (m_record) {
-            auto claim = co_await m_record->prepareAttempt(m_request, *chosen);
-            if (claim && std::holds_alternative<idempotency_replay>(*claim)) {
-                co_return co_await replay(std::get<idempotency_replay>(*claim));
-            }
-            if (claim) {
-                co_return refusal{std::get<base::error>(*claim), {}};
-            }
-        }
-        const auto result = co_await attemptOn(*chosen);
-        if (!result.failure) {
-            m_mayHaveRun = true;
-            if (m_record) {
-                m_record->complete();
-            }
-            const auto ended = co_await m_writer.end();
-            co_return ended ? std::nullopt : refusal_or_done(refusal{ended.error(), {}});
-        }
-        m_lastFailure = result.failure;
-        const bool retry = co_await mayRetry(result, *chosen);
-        if (!retry) {
-            co_return finalRefusal(*m_lastFailure);
-        }
-        m_owner.dependencies().metrics.countRetry(result.failure->kind);
-        co_await pauseBeforeRetry();
-    }
-}
-
-auto entry_request::nameAttempt(const chosen_node &chosen) -> void
-{
-    ++m_attempts;
-    m_request.attempt = m_owner.random().attemptId();
-    m_request.nodeIncarnation = chosen.incarnation;
-}
-
-auto entry_request::replay(const idempotency_replay &stored) -> asio::awaitable<refusal_or_done>
-{
-    auto answer = decodeStoredAnswer(stored.answer);
-    if (!answer) {
-        co_return refuse(error_kind::OutcomeUnknown, "the stored answer is damaged");
-    }
-    upstream::appendHeader(answer->headers, "Idempotency-Replayed", "true");
-    auto sent = co_await m_writer.start(std::move(*answer));
-    if (sent) {
-        sent = co_await m_writer.end();
-    }
-    co_return sent ? std::nullopt : refusal_or_done(refusal{sent.error(), {}});
-}
-
-auto entry_request::choose() -> base::result<chosen_node>
-{
-    const auto &select = m_owner.dependencies().hooks.select;
-    selection_request wanted{*m_owner.fleet(),     m_service,
-                             m_request.idempotent, m_request.body.size(),
-                             m_excluded,           m_request.organisation,
-                             m_request.route,      m_request.fingerprint};
-    wanted.excluded.insert(wanted.excluded.end(), m_failed.begin(), m_failed.end());
-    auto chosen = select(wanted);
-    if (!chosen && !m_failed.empty()) {
-        // A node whose upstream failed may have another upstream.
-        wanted.excluded = m_excluded;
-        chosen = select(wanted);
-    }
-    return chosen;
-}
-
-auto entry_request::attemptOn(const chosen_node &chosen)
-        -> asio::awaitable<upstream::attempt_result>
-{
-    const auto start = base::clock::now();
-    const auto bodySource = source();
-    const auto answerSink = sink();
-    auto result = co_await runOn(chosen, bodySource, answerSink);
-    const auto &report = m_owner.dependencies().hooks.onAttemptEnd;
-    if (report) {
-        const auto kind = result.failure ? std::optional(result.failure->kind) : std::nullopt;
-        report({m_request.service, m_request.organisation, chosen, kind, result.load,
-                base::clock::now() - start});
-    }
-    co_return result;
-}
-
-auto entry_request::runOn(const chosen_node &chosen, const upstream::body_source &source,
-                          const upstream::answer_sink &sink)
-        -> asio::awaitable<upstream::attempt_result>
-{
-    auto &dependencies = m_owner.dependencies();
-    if (chosen.id == dependencies.node) {
-        return dependencies.local.run(m_request, source, sink, m_cancel);
-    }
-    if (dependencies.remote == nullptr) {
-        return unreachable();
-    }
-    return dependencies.remote->run({chosen.id, chosen.address, chosen.incarnation}, m_request,
-                                    source, sink, m_cancel);
-}
-
-auto entry_request::provedNotRun(const base::error &failure, const chosen_node &chosen)
-        -> asio::awaitable<bool>
-{
-    if (isNotRun(failure.kind)) {
-        co_return true;
-    }
-    const auto &fence = m_owner.dependencies().hooks.fence;
-    if (failure.kind != error_kind::OutcomeUnknown || !fence) {
-        co_return false;
-    }
-    co_return co_await fence(m_request.attempt, chosen);
-}
-
-auto entry_request::mayRetry(const upstream::attempt_result &result, const chosen_node &chosen)
-        -> asio::awaitable<bool>
-{
-    const auto kind = result.failure->kind;
-    const bool mayHaveRun = result.answerStarted || !isNotRun(kind);
-    m_mayHaveRun = m_mayHaveRun || mayHaveRun;
-    if (result.answerStarted || m_writer.started() || m_bodyUsed || !isRetryable(kind)
-        || m_cancel.reason()) {
-        co_return false;
-    }
-    if (!m_request.idempotent) {
-        const bool proved = co_await provedNotRun(*result.failure, chosen);
-        if (!proved) {
-            co_return false;
-        }
-        // All earlier attempts of a non-idempotent request were proved as well.
-        m_mayHaveRun = false;
-        if (!isNotRun(kind)) {
-            m_lastFailure = base::error{error_kind::PeerUnreachable, "fenced before start"};
-        }
-    }
-    if (m_attempts >= m_service.maxAttempts || base::clock::now() >= m_request.deadline) {
-        co_return false;
-    }
-    (isUpstreamFailure(kind) ? m_failed : m_excluded).push_back(chosen.id);
-    const auto &spendRetry = m_owner.dependencies().hooks.spendRetry;
-    if (spendRetry && !spendRetry(m_service, m_request.organisation)) {
-        // Only a refusal before start may be reported under a kind that says "not run".
-        if (isNotRun(kind)) {
-            m_lastFailure = base::error{error_kind::RetryBudgetExhausted, {}};
-        }
-        co_return false;
-    }
-    co_return true;
-}
-
-auto entry_request::pauseBeforeRetry() -> asio::awaitable<void>
-{
-    const auto pause = policy::retryDelay(m_attempts, m_owner.random());
-    asio::steady_timer timer(m_input.socket().get_executor(), pause);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 auto entry_request::source() -> upstream::body_source
 {
     if (m_request.bodyComplete) {
@@ -511,20 +409,4 @@
     co_return part;
 }
 
-auto entry_request::sink() -> upstream::answer_sink
-{
-    return {[this](upstream::answer_start start) {
-                if (m_record) {
-                    m_record->keepStart(start);
-                }
-                return m_writer.start(std::move(start));
-            },
-            [this](std::string part) {
-                if (m_record) {
-                    m_record->keepData(part);
-                }
-                return m_writer.data(std::move(part));
-            }};
-}
-
 } // namespace hawthornpick::caller
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "caller/hooks.h"
 #include "caller/internal/answerwriter.h"
+#include "caller/internal/attemptset.h"
 #include "caller/internal/idempotentrun.h"
 #include "caller/internal/requestbody.h"
 #include "caller/internal/requesthead.h"
@@ -25,6 +26,7 @@
     upstream::forwarder *remote = nullptr;
     base::metrics &metrics;
     const entry_hooks &hooks;
+    const upstream::wire_profile &wire;
 };
 
 //! Entry side of one I/O thread, shared by its connections.
@@ -78,22 +80,33 @@
     auto readBody() -> task<refusal_or_done>;
     auto prepare(std::string body) -> void;
     auto deadline() const -> base::time_point;
-    auto choose() -> base::result<chosen_node>;
     auto readRest() -> task<base::result<std::string>>;
     auto forward() -> task<refusal_or_done>;
+    auto writeRefusal(const refusal &why) -> task<bool>;
+    auto reportEnd(const refusal_or_done &refused) const -> void;
+
+    // Attempts (entryattempts.cpp).
     auto runAttempts() -> task<refusal_or_done>;
-    auto nameAttempt(const chosen_node &chosen) -> void;
+    auto selection() const -> selection_request;
+    auto choose() -> base::result<chosen_node>;
+    auto launch(const chosen_node &chosen) -> task<refusal_or_done>;
+    auto launchParallel() -> task<void>;
+    auto planRepeat(const chosen_node &chosen) -> void;
+    auto nextAttempt() -> task<attempt_pointer>;
+    auto isAnswer(const attempt &item) const -> bool;
+    auto deliver(attempt &item) -> task<refusal_or_done>;
+    auto answerCaller(upstream::answer_start answer) -> task<refusal_or_done>;
+    auto afterFailure(const attempt_pointer &item) -> task<refusal_or_done>;
+    auto lastAnswer() -> task<refusal_or_done>;
     auto replay(const idempotency_replay &stored) -> task<refusal_or_done>;
     auto finalRefusal(base::error what) const -> refusal;
-    auto attemptOn(const chosen_node &chosen) -> task<upstream::attempt_result>;
-    auto runOn(const chosen_node &chosen, const upstream::body_source &source,
-               const upstream::answer_sink &sink) -> task<upstream::attempt_result>;
-    auto mayRetry(const upstream::attempt_result &result, const chosen_node &chosen) -> task<bool>;
-    auto provedNotRun(const base::error &failure, const chosen_node &chosen) -> task<bool>;
+    auto mayRetry(const attempt &item) -> task<bool>;
+    auto spendRepeat() -> bool;
+    auto maxAttempts() const -> unsigned;
+    auto provedNotRun(const base::error &failure, const attempt &item) -> task<bool>;
     auto pauseBeforeRetry() -> task<void>;
     auto source() -> upstream::body_source;
-    auto sink() -> upstream::answer_sink;
-    auto writeRefusal(const refusal &why) -> task<bool>;
+    auto newAnswer() -> collected_answer;
 
     entry &m_owner;
     caller_input &m_input;
@@ -114,11 +127,18 @@
     std::optional<idempotent_run> m_record;
     // Set once an attempt was not proved to be "not started".
     bool m_mayHaveRun = false;
-    unsigned m_attempts = 0;
+    // Attempts in all, and those that an upstream may have run.
+    unsigned m_placements = 0;
+    unsigned m_starts = 0;
     bool m_bodyUsed = false;
+    attempt_set m_attempts;
+    base::time_point m_repeatAt = base::time_point::max();
+    // Answer with a failure of the upstream, delivered if no other attempt does better.
+    attempt_pointer m_fallback;
 };
 
 //! Returns the request id of the caller if it is usable, or a new one.
-auto requestIdFor(const request_fields &fields, base::random_source &random) -> std::string;
+auto requestIdFor(const request_fields &fields, const upstream::wire_profile &wire,
+                  base::random_source &random) -> std::string;
 
 } // namespace hawthornpick::caller
--- a/src/caller/internal/requesthead.cpp
+++ b/src/caller/internal/requesthead.cpp
@@ -267,17 +267,6 @@
     head.keepAlive = head.http10 ? has("keep-alive") : !has("close");
 }
 
-// Headers that the fleet sets itself or that only concern this hop.
-auto isInternal(std::string_view name) -> bool
-{
-    static constexpr std::array<std::string_view, 6> NAMES{
-            "X-Api-Key", "X-Request-Deadline-Ms", "X-Request-Id",
-            "Expect",    "X-Forwarded-For",       "Via"};
-    return startsWithIgnoreCase(name, "X-Hawthornpick-")
-           || std::any_of(NAMES.begin(), NAMES.end(),
-                          [name](auto known) { return equalIgnoreCase(name, known); });
-}
-
 auto carriesKey(std::string_view name, std::string_view value, const request_head &head) -> bool
 {
     if (equalIgnoreCase(name, "Authorization") && startsWithIgnoreCase(value, BEARER)) {
@@ -337,18 +326,22 @@
 }
 
 auto cleanHeaders(const request_fields &fields, const request_head &head,
-                  std::string_view callerAddress) -> std::string
+                  const upstream::wire_profile &wire, std::string_view callerAddress)
+        -> std::string
 {
     const auto options = connectionOptions(fields);
     std::string block;
     for (const auto &field : fields) {
         const auto name = view(field.name_string());
         const auto value = view(field.value());
-        if (!isInternal(name) && !upstream::isHopByHop(name, options)
+        if (!wire.isReserved(name) && !upstream::isHopByHop(name, options)
             && !carriesKey(name, value, head)) {
             upstream::appendHeader(block, name, value);
         }
     }
+    if (!wire.addsForwardingHeaders) {
+        return block;
+    }
     const auto forwarded = joinedValues(fields, "X-Forwarded-For");
     const auto via = joinedValues(fields, "Via");
     const auto clean = [&head](const std::string &text) {
--- a/src/caller/internal/requesthead.h
+++ b/src/caller/internal/requesthead.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/errorkind.h"
+#include "upstream/wireprofile.h"
 
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
@@ -50,10 +51,11 @@
 //! Thread safety: pure.
 auto readHead(const request_fields &fields) -> base::result<request_head>;
 
-//! Returns the header lines for the upstream: without the key, hop-by-hop, internal and framing
-//! headers, with Via and X-Forwarded-For. Thread safety: pure.
+//! Returns the header lines for the upstream: without the key, hop-by-hop, reserved and framing
+//! headers, with Via and X-Forwarded-For if the profile has them. Thread safety: pure.
 auto cleanHeaders(const request_fields &fields, const request_head &head,
-                  std::string_view callerAddress) -> std::string;
+                  const upstream::wire_profile &wire, std::string_view callerAddress)
+        -> std::string;
 
 //! Returns the value of the only header with this name; nothing if there is none or several.
 //! Thread safety: pure.
--- a/src/config/idl/configwire.thrift
+++ b/src/config/idl/configwire.thrift
@@ -5,6 +5,7 @@
   2: double rate
   3: i64 burst
   4: i64 weight
+  5: i64 priority
 }
 
 struct api_key {
@@ -24,6 +25,11 @@
   8: i64 warm_up_ms
 }
 
+struct weighted_service {
+  1: string service_name
+  2: i64 weight
+}
+
 struct route_entry {
   1: string id
   2: string host
@@ -36,6 +42,16 @@
   9: i64 record_life_ms
   10: i64 deadline_ms
   11: i64 max_body_bytes
+  12: i64 target_latency_ms
+  13: i64 priority
+  14: i64 max_attempts
+  15: list<weighted_service> split
+}
+
+struct caller_limits {
+  1: i64 header_bytes
+  2: i64 header_ms
+  3: i64 idle_ms
 }
 
 struct config_set {
@@ -43,4 +59,5 @@
   2: list<api_key> keys
   3: list<service_entry> services
   4: list<route_entry> routes
+  5: caller_limits limits
 }
--- a/src/config/internal/declaration.cpp
+++ b/src/config/internal/declaration.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <map>
 #include <sstream>
 
@@ -18,6 +19,10 @@
 constexpr base::milliseconds MAX_RECORD_LIFE = 24h;
 constexpr double MAX_RATE = 1'000'000.0;
 constexpr std::uint64_t MAX_BURST = 1'000'000;
+constexpr std::uint64_t MAX_PRIORITY = 1000;
+constexpr std::uint64_t MAX_WEIGHT = 1'000'000;
+//! Longest time that a request may be kept waiting, whatever the source of the set.
+constexpr base::milliseconds MAX_ROUTE_DEADLINE = 10min;
 
 struct place
 {
@@ -137,6 +142,7 @@
         item.rate = reader.decimal("rate", 1.0, 0.001, MAX_RATE);
         item.burst = static_cast<std::uint32_t>(reader.number("burst", 1, 1, MAX_BURST));
         item.weight = static_cast<std::uint32_t>(reader.number("weight", 1, 1, 100));
+        item.priority = static_cast<std::uint32_t>(reader.number("priority", 0, 0, MAX_PRIORITY));
         return item;
     }
 
@@ -179,7 +185,9 @@
         item.host = readHost(reader);
         item.pathPrefix = readPathPrefix(reader);
         item.methods = readMethods(reader);
-        item.service = base::service_id(reader.requiredName("service"));
+        item.split = readSplit(reader);
+        item.service = item.split.empty() ? base::service_id(reader.requiredName("service"))
+                                          : item.split.front().service;
         item.access = static_cast<route_access>(reader.choice("access", {"keyed", "open"}, 0));
         item.idempotent = reader.flag("idempotent", defaultIdempotence(item.methods));
         item.idempotencyKey = static_cast<idempotency_key_use>(
@@ -190,9 +198,34 @@
         item.recordLife = reader.span("record_life_ms", item.recordLife, 1min, MAX_RECORD_LIFE);
         item.deadline = reader.span("deadline_ms", item.deadline, 1ms, MAX_DEADLINE);
         item.maxBodyBytes = reader.number("max_body_bytes", item.maxBodyBytes, 0, 1ULL << 32U);
+        item.targetLatency =
+                reader.span("target_latency_ms", item.targetLatency, 0ms, MAX_DEADLINE);
+        item.priority = static_cast<std::uint32_t>(reader.number("priority", 0, 0, MAX_PRIORITY));
+        item.maxAttempts = static_cast<std::uint32_t>(reader.number("max_attempts", 0, 0, 10));
         return item;
     }
 
+    // Each `split = SERVICE:WEIGHT` is one part.
+    static auto readSplit(section_reader &reader) -> std::vector<weighted_service>
+    {
+        std::vector<weighted_service> parts;
+        for (const auto &entry : reader.list("split")) {
+            const auto colon = std::min(entry.value.rfind(':'), entry.value.size());
+            const auto name = entry.value.substr(0, colon);
+            const auto text = entry.value.substr(std::min(colon + 1, entry.value.size()));
+            std::uint32_t weight = 0;
+            const auto [end, error] =
+                    std::from_chars(text.data(), text.data() + text.size(), weight);
+            if (!isName(name) || error != std::errc{} || end != text.data() + text.size()
+                || weight > MAX_WEIGHT) {
+                reader.reject("split", "`" + entry.value + "` is not of the form SERVICE:WEIGHT");
+                continue;
+            }
+            parts.push_back({base::service_id(name), weight});
+        }
+        return parts;
+    }
+
     static auto readHost(section_reader &reader) -> std::string
     {
         auto host = reader.text("host").value_or("");
@@ -291,19 +324,50 @@
     }
 }
 
+auto checkServices(const config_set &set, const route &item, std::vector<diagnostic> &errors)
+        -> void
+{
+    std::uint64_t weights = 0;
+    for (const auto &part : servicesOf(item)) {
+        weights += part.weight;
+        if (!part.service.empty() && findService(set, part.service) == nullptr) {
+            errors.push_back({{},
+                              0,
+                              sectionOf("route", item.id.str()),
+                              item.split.empty() ? "service" : "split",
+                              "service `" + part.service.str() + "` is not declared"});
+        }
+    }
+    if (weights == 0) {
+        errors.push_back({{},
+                          0,
+                          sectionOf("route", item.id.str()),
+                          "split",
+                          "no service of the route has a weight"});
+    }
+}
+
+auto checkDeadline(const route &item, std::vector<diagnostic> &errors) -> void
+{
+    if (item.deadline > base::milliseconds(0) && item.deadline <= MAX_ROUTE_DEADLINE) {
+        return;
+    }
+    errors.push_back({{},
+                      0,
+                      sectionOf("route", item.id.str()),
+                      "deadline_ms",
+                      "deadline is not between 1 ms and "
+                              + std::to_string(MAX_ROUTE_DEADLINE.count()) + " ms"});
+}
+
 auto checkRoutes(const config_set &set, std::vector<diagnostic> &errors) -> void
 {
     using match_key = std::tuple<std::string, std::string, std::string>;
     std::map<match_key, std::string> owners;
     for (const auto &item : set.routes) {
         const auto section = sectionOf("route", item.id.str());
-        if (!item.service.str().empty() && findService(set, item.service) == nullptr) {
-            errors.push_back({{},
-                              0,
-                              section,
-                              "service",
-                              "service `" + item.service.str() + "` is not declared"});
-        }
+        checkServices(set, item, errors);
+        checkDeadline(item, errors);
         auto methods = item.methods;
         if (methods.empty()) {
             methods.emplace_back("any method");
--- /dev/null
+++ b/src/config/internal/meshsettings.cpp
@@ -0,0 +1,125 @@
+#include "config/meshsettings.h"
+
+#include "config/internal/sectionreader.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace hawthornpick::config {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t MIN_SECRET_BYTES = 16;
+
+auto readNode(section_reader &reader, mesh_settings &out) -> void
+{
+    out.name = base::node_id(reader.requiredName("name"));
+    out.region = base::region_id(reader.requiredName("region"));
+    out.failureDomain = base::failure_domain_id(reader.requiredName("failure_domain"));
+    out.address = reader.requiredText("address");
+    if (!out.address.empty() && !membership::parseEndpoint(out.address + ":1")) {
+        reader.reject("address", "`" + out.address + "` is not an IP address");
+    }
+    reader.requiredText("peer_port");
+    out.peerPort = static_cast<std::uint16_t>(reader.number("peer_port", 0, 1, 65535));
+    out.dataFolder = reader.text("data_folder").value_or("");
+    out.stopTime = reader.timeSpan("stop_time", out.stopTime, 0ms, 1h);
+    out.logLevel = static_cast<base::log_level>(
+            reader.choice("log_level", {"debug", "info", "warning", "error"}, 1));
+}
+
+auto readListen(section_reader &reader, mesh_settings &out) -> void
+{
+    out.controlAddress = reader.endpoint("control", true);
+    out.callerAddress = reader.endpoint("callers", false);
+    out.readyAddress = reader.endpoint("ready", false);
+    out.statusAddress = reader.endpoint("status", false);
+    out.maxCallerConnections = static_cast<std::uint32_t>(
+            reader.number("max_caller_connections", out.maxCallerConnections, 1, 100'000));
+}
+
+auto readUpstream(section_reader &reader, mesh_settings &out) -> void
+{
+    out.service = base::service_id(reader.text("service").value_or(""));
+    out.upstreamAddress = reader.endpoint("address", false);
+    out.heartbeat = reader.timeSpan("heartbeat", out.heartbeat, 10ms, 10min);
+}
+
+auto readFleet(section_reader &reader, mesh_settings &out) -> void
+{
+    for (const auto &entry : reader.list("seed")) {
+        const auto seed = membership::parseEndpoint(entry.value);
+        if (!seed) {
+            reader.reject("seed", "`" + entry.value + "` is not an IP address with a port");
+            continue;
+        }
+        out.seeds.push_back(seed->address);
+    }
+    const auto isFirstStart = reader.choice("first_start", {"false", "true"}, 0);
+    out.isFirstStart = isFirstStart == 1;
+    out.fleetSecret = reader.requiredText("secret");
+    if (!out.fleetSecret.empty() && out.fleetSecret.size() < MIN_SECRET_BYTES) {
+        reader.reject("secret",
+                      "value is shorter than " + std::to_string(MIN_SECRET_BYTES) + " bytes");
+    }
+}
+
+auto readRepeats(section_reader &reader, mesh_settings &out) -> void
+{
+    out.repeatShare = reader.decimal("share", out.repeatShare, 0.0, 10.0);
+    out.repeatSlack = reader.decimal("slack", out.repeatSlack, 0.0, 1'000'000.0);
+    out.repeatWindow = reader.timeSpan("window", out.repeatWindow, 100ms, 1h);
+}
+
+using read_function = void (*)(section_reader &, mesh_settings &);
+
+auto sectionReaders() -> const std::map<std::string, read_function> &
+{
+    static const std::map<std::string, read_function> readers{{"node", readNode},
+                                                              {"listen", readListen},
+                                                              {"upstream", readUpstream},
+                                                              {"fleet", readFleet},
+                                                              {"repeats", readRepeats}};
+    return readers;
+}
+
+} // namespace
+
+auto parseMeshSettings(std::string_view fileName, std::string_view text)
+        -> tl::expected<mesh_settings, std::vector<diagnostic>>
+{
+    std::vector<diagnostic> errors;
+    auto document = parseIni(fileName, text, errors);
+    mesh_settings out;
+    std::set<std::string> seen;
+    for (auto &section : document.sections) {
+        std::erase_if(section.entries, [](const ini_entry &entry) { return entry.value.empty(); });
+        const auto position = sectionReaders().find(section.name);
+        if (position == sectionReaders().end() || !seen.insert(section.name).second) {
+            errors.push_back({document.file,
+                              section.line,
+                              section.name,
+                              {},
+                              "section is given twice or is none of [node], [listen], [upstream], "
+                              "[fleet] and [repeats]"});
+            continue;
+        }
+        section_reader reader(document.file, section, errors);
+        position->second(reader, out);
+        reader.rejectUnknownKeys();
+    }
+    for (const auto *name : {"node", "listen", "fleet"}) {
+        if (!seen.contains(name)) {
+            errors.push_back({document.file, 0, name, {}, "section is missing"});
+        }
+    }
+    if (!errors.empty()) {
+        return tl::unexpected(std::move(errors));
+    }
+    return out;
+}
+
+} // namespace hawthornpick::config
--- a/src/config/internal/model.cpp
+++ b/src/config/internal/model.cpp
@@ -35,6 +35,7 @@
     out.rate = item.rate;
     out.burst = item.burst;
     out.weight = item.weight;
+    out.priority = item.priority;
     return out;
 }
 
@@ -75,13 +76,48 @@
     out.record_life_ms = item.recordLife.count();
     out.deadline_ms = item.deadline.count();
     out.max_body_bytes = static_cast<std::int64_t>(item.maxBodyBytes);
+    out.target_latency_ms = item.targetLatency.count();
+    out.priority = item.priority;
+    out.max_attempts = item.maxAttempts;
+    for (const auto &part : item.split) {
+        wire::weighted_service wirePart;
+        wirePart.service_name = part.service.str();
+        wirePart.weight = part.weight;
+        out.split.push_back(std::move(wirePart));
+    }
+    return out;
+}
+
+auto toWire(const caller_limits &item) -> wire::caller_limits
+{
+    wire::caller_limits out;
+    out.header_bytes = static_cast<std::int64_t>(item.headerBytes);
+    out.header_ms = item.headerTime.count();
+    out.idle_ms = item.idleTime.count();
+    return out;
+}
+
+auto fromWire(const wire::caller_limits &item) -> caller_limits
+{
+    return {static_cast<std::uint64_t>(item.header_bytes), base::milliseconds(item.header_ms),
+            base::milliseconds(item.idle_ms)};
+}
+
+auto fromWire(const std::vector<wire::weighted_service> &items) -> std::vector<weighted_service>
+{
+    std::vector<weighted_service> out;
+    out.reserve(items.size());
+    for (const auto &item : items) {
+        out.push_back(
+                {base::service_id(item.service_name), static_cast<std::uint32_t>(item.weight)});
+    }
     return out;
 }
 
 auto fromWire(const wire::organisation &item) -> organisation
 {
     return {base::organisation_id(item.id), item.rate, static_cast<std::uint32_t>(item.burst),
-            static_cast<std::uint32_t>(item.weight)};
+            static_cast<std::uint32_t>(item.weight), static_cast<std::uint32_t>(item.priority)};
 }
 
 auto fromWire(const wire::service_entry &item) -> service
@@ -108,7 +144,11 @@
             static_cast<idempotency_key_use>(item.idempotency_key),
             base::milliseconds(item.record_life_ms),
             base::milliseconds(item.deadline_ms),
-            static_cast<std::uint64_t>(item.max_body_bytes)};
+            static_cast<std::uint64_t>(item.max_body_bytes),
+            base::milliseconds(item.target_latency_ms),
+            static_cast<std::uint32_t>(item.priority),
+            static_cast<std::uint32_t>(item.max_attempts),
+            fromWire(item.split)};
 }
 
 } // namespace
@@ -129,6 +169,14 @@
     return findSorted(set.services, id);
 }
 
+auto servicesOf(const route &item) -> std::vector<weighted_service>
+{
+    if (!item.split.empty()) {
+        return item.split;
+    }
+    return {{item.service, 1}};
+}
+
 auto encode(const config_set &set) -> std::string
 {
     wire::config_set out;
@@ -144,6 +192,7 @@
     for (const auto &item : set.routes) {
         out.routes.push_back(toWire(item));
     }
+    out.limits = toWire(set.limits);
     return base::encodeThrift(out);
 }
 
@@ -171,6 +220,7 @@
     for (const auto &item : in->routes) {
         set.routes.push_back(fromWire(item));
     }
+    set.limits = fromWire(in->limits);
     if (!isSortedById(set.organisations) || !isSortedById(set.keys) || !isSortedById(set.services)
         || !isSortedById(set.routes)) {
         return std::nullopt;
--- a/src/config/internal/sectionreader.cpp
+++ b/src/config/internal/sectionreader.cpp
@@ -155,6 +155,30 @@
                                      static_cast<std::uint64_t>(maximum.count())));
 }
 
+auto section_reader::timeSpan(std::string_view key, base::milliseconds fallback,
+                              base::milliseconds minimum, base::milliseconds maximum)
+        -> base::milliseconds
+{
+    const auto *entry = find(key);
+    if (entry == nullptr) {
+        return fallback;
+    }
+    std::string_view text = entry->value;
+    const bool isMilliseconds = text.ends_with("ms");
+    const bool isSeconds = !isMilliseconds && text.ends_with("s");
+    text.remove_suffix(isMilliseconds ? 2 : isSeconds ? 1 : 0);
+    const auto value = isMilliseconds || isSeconds ? parseNumber<double>(text) : std::nullopt;
+    const auto inMilliseconds = value.value_or(-1.0) * (isSeconds ? 1000.0 : 1.0);
+    const auto first = static_cast<double>(minimum.count());
+    const auto last = static_cast<double>(maximum.count());
+    if (!std::isfinite(inMilliseconds) || inMilliseconds < first || inMilliseconds > last) {
+        reject(key, quoted(entry->value) + " is not a time from " + std::to_string(minimum.count())
+                            + "ms to " + std::to_string(maximum.count()) + "ms");
+        return fallback;
+    }
+    return base::milliseconds(std::llround(inMilliseconds));
+}
+
 auto section_reader::flag(std::string_view key, bool fallback) -> bool
 {
     return choice(key, {"no", "yes"}, fallback ? 1 : 0) == 1;
--- a/src/config/internal/sectionreader.h
+++ b/src/config/internal/sectionreader.h
@@ -51,6 +51,10 @@
     auto span(std::string_view key, base::milliseconds fallback, base::milliseconds minimum,
               base::milliseconds maximum) -> base::milliseconds;
 
+    //! Number with the unit `ms` or `s`, such as `1500ms` or `2.5s`.
+    auto timeSpan(std::string_view key, base::milliseconds fallback, base::milliseconds minimum,
+                  base::milliseconds maximum) -> base::milliseconds;
+
     //! `yes` or `no`.
     auto flag(std::string_view key, bool fallback) -> bool;
 
--- a/src/config/internal/settings.cpp
+++ b/src/config/internal/settings.cpp
@@ -79,7 +79,7 @@
     }
     out.announceAddress = reader.endpoint("announce", true);
     out.operatorAddress = reader.endpoint("operators", true);
-    out.platformAddress = reader.endpoint("platform", true);
+    out.statusAddress = reader.endpoint("platform", true);
 }
 
 auto readFleet(section_reader &reader, settings &out) -> void
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -23,6 +23,8 @@
     std::uint32_t burst = 0;
     //! Share of queue service relative to other organisations.
     std::uint32_t weight = 1;
+    //! Rank of its requests, 0 being the most urgent; goes before the rank of the route.
+    std::uint32_t priority = 0;
 
     auto operator<=>(const organisation &) const = default;
 };
@@ -67,6 +69,16 @@
     Required,
 };
 
+//! One part of a route whose requests are divided among several services.
+struct weighted_service
+{
+    base::service_id service;
+    //! Share of the requests relative to the other parts.
+    std::uint32_t weight = 1;
+
+    auto operator<=>(const weighted_service &) const = default;
+};
+
 //! Maps requests to a service.
 struct route
 {
@@ -86,10 +98,29 @@
     //! Deadline of a request that names none, and the largest that it may name.
     base::milliseconds deadline{10000};
     std::uint64_t maxBodyBytes = 10ULL * 1024 * 1024;
+    //! Time within which an answer has its full value; 0 stands for the deadline.
+    base::milliseconds targetLatency{0};
+    //! Rank of its requests, 0 being the most urgent.
+    std::uint32_t priority = 0;
+    //! Upstreams that one request may run on; 0 stands for the limit of the service.
+    std::uint32_t maxAttempts = 0;
+    //! Empty if all requests go to `service`.
+    std::vector<weighted_service> split;
 
     auto operator<=>(const route &) const = default;
 };
 
+//! What callers may send, and how long they may take for it.
+struct caller_limits
+{
+    std::uint64_t headerBytes = 16ULL * 1024;
+    base::milliseconds headerTime{10'000};
+    //! Time for which an idle connection is kept.
+    base::milliseconds idleTime{60'000};
+
+    auto operator<=>(const caller_limits &) const = default;
+};
+
 //! The whole intended state as operators declare it; all vectors are sorted by id.
 struct config_set
 {
@@ -97,6 +128,7 @@
     std::vector<key> keys;
     std::vector<service> services;
     std::vector<route> routes;
+    caller_limits limits;
 
     auto operator<=>(const config_set &) const = default;
 };
@@ -108,6 +140,10 @@
 auto findKey(const config_set &set, const base::key_id &id) -> const key *;
 auto findService(const config_set &set, const base::service_id &id) -> const service *;
 
+//! Services that requests of a route may run on: the parts of its split, or its only service.
+//! Thread safety: pure.
+auto servicesOf(const route &item) -> std::vector<weighted_service>;
+
 //! Canonical bytes of a set: equal sets give equal bytes. Used for digests, the log and transfer.
 //! Thread safety: pure.
 auto encode(const config_set &set) -> std::string;
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -52,7 +52,7 @@
     //! Where operators connect.
     membership::endpoint operatorAddress;
     //! Where /healthz, /readyz and /metrics are served.
-    membership::endpoint platformAddress;
+    membership::endpoint statusAddress;
 
     std::vector<named_node> seeds;
     std::vector<named_node> controllers;
--- /dev/null
+++ b/src/fleet/hub.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "base/message.h"
+#include "base/time.h"
+#include "fleet/recordtable.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace hawthornpick::fleet {
+
+struct hub_options
+{
+    //! Nodes that may be hubs; enough of them to reach one that is up.
+    std::vector<base::node_id> contacts;
+    //! Identifies this process.
+    std::uint64_t boot = 0;
+};
+
+//! Decision object of a node that keeps the directory for others: collects what nodes report,
+//! exchanges it with the other hubs, and hands out records, committed documents and totals of
+//! demand. Thread safety of all members: one thread.
+class hub
+{
+public:
+    using messages = std::vector<base::outgoing_message>;
+
+    static constexpr base::milliseconds SYNC_INTERVAL{500};
+    //! A node that has not reported for this time counts as gone. Longer than most partitions
+    //! between a node and the core, during which it still serves.
+    static constexpr base::milliseconds NODE_LIFE{20'000};
+    //! Demand of a node or hub counts for this long after its last report: a node that is cut off
+    //! keeps admitting at its last share.
+    static constexpr base::milliseconds DEMAND_LIFE{10'000};
+    //! Nodes that reported within this time get committed documents at once.
+    static constexpr base::milliseconds NOTICE_TIME{2000};
+
+    //! `isFresh` tells whether the documents given by `publish` are up to date.
+    hub(hub_options options, node_record self, std::function<bool(base::time_point)> isFresh);
+
+    auto receive(const base::node_id &from, const message &content, base::time_point now)
+            -> messages;
+    auto tick(base::time_point now) -> messages;
+
+    //! Hands out a newer committed document. The result is to be sent.
+    auto publish(config_document document, base::time_point now) -> messages;
+
+    //! Announces that this hub is about to stop.
+    auto leave(base::time_point now) -> messages;
+
+    [[nodiscard]] auto records() const -> const record_table & { return m_records; }
+
+private:
+    struct reporter_state
+    {
+        base::time_point heardAt;
+        demand_map demands;
+    };
+    struct peer_state
+    {
+        directory_mark known;
+        base::time_point heardAt;
+        demand_map demands;
+    };
+
+    auto onReport(const base::node_id &from, const report &content, base::time_point now)
+            -> messages;
+    auto onSync(const base::node_id &from, const sync_request &content, base::time_point now)
+            -> messages;
+    auto onSyncAnswer(const base::node_id &from, const sync_answer &content) -> void;
+    auto syncAll(base::time_point now) -> messages;
+    auto forgetSilentNodes(base::time_point now) -> void;
+    [[nodiscard]] auto ownDemand(base::time_point now) const -> demand_map;
+    [[nodiscard]] auto totalsFor(const demand_map &wanted, base::time_point now) const
+            -> demand_map;
+
+    hub_options m_options;
+    node_record m_self;
+    std::function<bool(base::time_point)> m_isFresh;
+    record_table m_records;
+    std::map<base::node_id, reporter_state> m_reporters;
+    std::map<base::node_id, peer_state> m_peers;
+    config_document m_document;
+    base::time_point m_syncAt;
+};
+
+} // namespace hawthornpick::fleet
--- /dev/null
+++ b/src/fleet/idl/fleetwire.thrift
@@ -0,0 +1,78 @@
+namespace cpp hawthornpick.fleet.wire
+
+struct upstream {
+  1: string id
+  2: string service_name
+  3: i32 slots
+  4: i8 state
+  5: i64 incarnation
+}
+
+// A node as it describes itself. The higher (generation, sequence) is the newer one.
+struct node_record {
+  1: string node
+  2: i64 generation
+  3: i64 sequence
+  4: string host
+  5: string region
+  6: string failure_domain
+  7: i8 state
+  8: bool hub
+  9: list<upstream> upstreams
+}
+
+// Requests per second of an organisation.
+struct demand {
+  1: string organisation
+  2: double rate
+}
+
+// Sent by each node to its hub. `boot` and `change` name what the node has of the hub's directory.
+struct report {
+  1: node_record sender
+  2: i64 boot
+  3: i64 change
+  4: i64 version
+  5: list<demand> demands
+}
+
+struct report_answer {
+  1: i64 boot
+  2: i64 change
+  3: bool whole
+  4: list<node_record> records
+  5: bool fresh
+  6: optional i64 version
+  7: optional binary content
+  8: list<demand> totals
+  // Generation under which the hub knows the sender, if that is newer than the sender's.
+  9: i64 known_generation
+}
+
+// Sent by each hub to the others; `demands` sums up what its own nodes report.
+struct sync_request {
+  1: node_record sender
+  2: i64 boot
+  3: i64 change
+  4: list<demand> demands
+}
+
+struct sync_answer {
+  1: i64 boot
+  2: i64 change
+  3: list<node_record> records
+}
+
+// Sent by a hub to its nodes when a version is committed.
+struct config_notice {
+  1: i64 version
+  2: binary content
+}
+
+struct message {
+  1: optional report node_report
+  2: optional report_answer answer
+  3: optional sync_request sync
+  4: optional sync_answer synced
+  5: optional config_notice notice
+}
--- /dev/null
+++ b/src/fleet/internal/reporter.cpp
@@ -0,0 +1,185 @@
+#include "fleet/reporter.h"
+
+#include "base/digest.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace hawthornpick::fleet {
+
+reporter::reporter(node_record self, std::vector<base::node_id> contacts, reporter_sinks sinks)
+    : m_self(std::move(self)), m_contacts(std::move(contacts)), m_sinks(std::move(sinks))
+{
+    m_records.merge(m_self);
+}
+
+auto reporter::receive(const base::node_id &from, const message &content, base::time_point now)
+        -> messages
+{
+    if (const auto *answer = std::get_if<report_answer>(&content)) {
+        return onAnswer(from, *answer, now);
+    }
+    if (const auto *notice = std::get_if<config_notice>(&content)) {
+        takeDocument(notice->document);
+    }
+    return {};
+}
+
+auto reporter::tick(base::time_point now) -> messages
+{
+    if (m_isWaiting && now - m_sentAt >= ANSWER_TIME) {
+        m_isWaiting = false;
+        giveUpHub(now);
+        m_reportAt = now;
+    }
+    if (now < m_reportAt) {
+        return {};
+    }
+    return sendReport(now);
+}
+
+auto reporter::setUpstreams(std::vector<membership::upstream_entry> upstreams) -> void
+{
+    if (m_self.entry.upstreams == upstreams) {
+        return;
+    }
+    m_self.entry.upstreams = std::move(upstreams);
+    selfChanged();
+}
+
+auto reporter::setState(membership::node_state state) -> void
+{
+    m_self.entry.state = state;
+    selfChanged();
+}
+
+auto reporter::setContacts(std::vector<base::node_id> contacts) -> void
+{
+    m_contacts = std::move(contacts);
+}
+
+auto reporter::selfChanged() -> void
+{
+    ++m_self.sequence;
+    m_records.merge(m_self);
+    m_reportAt = {};
+    publishView();
+}
+
+auto reporter::onAnswer(const base::node_id &from, const report_answer &answer,
+                        base::time_point now) -> messages
+{
+    if (from != m_hub) {
+        return {};
+    }
+    m_isWaiting = false;
+    m_mark = answer.mark;
+    bool isChanged = false;
+    for (const auto &record : answer.records) {
+        if (record.entry.id != m_self.entry.id) {
+            isChanged = m_records.merge(record) || isChanged;
+        }
+    }
+    if (answer.knownGeneration > m_self.generation) {
+        m_self.generation = answer.knownGeneration + 1;
+        selfChanged();
+    }
+    if (isChanged) {
+        publishView();
+    }
+    if (answer.document) {
+        takeDocument(*answer.document);
+    }
+    m_sinks.onTotals(answer.totals);
+    if (!answer.isFresh) {
+        giveUpHub(now);
+    }
+    return {};
+}
+
+// Only newer versions count, so that no answer of a hub that lags takes a version back.
+auto reporter::takeDocument(const config_document &document) -> void
+{
+    if (document.version > m_version) {
+        m_version = document.version;
+        m_sinks.onDocument(document);
+    }
+}
+
+auto reporter::sendReport(base::time_point now) -> messages
+{
+    chooseHub(now);
+    if (m_hub.empty()) {
+        m_reportAt = now + REPORT_INTERVAL;
+        return {};
+    }
+    m_reportAt = now + REPORT_INTERVAL;
+    m_sentAt = now;
+    m_isWaiting = true;
+    const report content{m_self, m_mark, m_version, m_sinks.demands()};
+    return {{m_hub, base::channel::Directory, encodeMessage(content)}};
+}
+
+auto reporter::distanceTo(const base::node_id &node) const -> int
+{
+    const auto *record = m_records.find(node);
+    if (record == nullptr || record->entry.region != m_self.entry.region) {
+        return 2;
+    }
+    return record->entry.failureDomain == m_self.entry.failureDomain ? 0 : 1;
+}
+
+// Prefers the nearest hub; among equally near ones the order differs from node to node.
+auto reporter::nearestHub(base::time_point now) const -> base::node_id
+{
+    std::set<base::node_id> candidates(m_contacts.begin(), m_contacts.end());
+    m_records.forEach([&candidates](const node_record &record) {
+        if (record.isHub && record.entry.state == membership::node_state::Alive) {
+            candidates.insert(record.entry.id);
+        } else {
+            candidates.erase(record.entry.id);
+        }
+    });
+    const auto rank = [this, now](const base::node_id &node) {
+        const auto failed = m_failedUntil.find(node);
+        const bool isAvoided = failed != m_failedUntil.end() && failed->second > now;
+        return std::tuple(isAvoided, isAvoided ? failed->second : base::time_point{},
+                          distanceTo(node),
+                          base::rendezvousWeight(m_self.entry.id.str(), node.str()));
+    };
+    const auto best = std::min_element(
+            candidates.begin(), candidates.end(),
+            [&rank](const base::node_id &left, const base::node_id &right) {
+                return rank(left) < rank(right);
+            });
+    return best == candidates.end() ? base::node_id() : *best;
+}
+
+auto reporter::chooseHub(base::time_point now) -> void
+{
+    const auto best = nearestHub(now);
+    if (best == m_hub) {
+        return;
+    }
+    m_hub = best;
+    m_mark = {};
+    // The former hub must not take the node's silence for its end.
+    ++m_self.sequence;
+    m_records.merge(m_self);
+    m_sinks.onHub(m_hub);
+}
+
+auto reporter::giveUpHub(base::time_point now) -> void
+{
+    m_failedUntil[m_hub] = now + AVOID_TIME;
+}
+
+auto reporter::publishView() -> void
+{
+    std::vector<membership::node_entry> nodes;
+    m_records.forEach([&nodes](const node_record &record) { nodes.push_back(record.entry); });
+    m_sinks.onView(std::make_shared<const membership::view>(++m_viewVersion, std::move(nodes)));
+}
+
+} // namespace hawthornpick::fleet
--- /dev/null
+++ b/src/fleet/messages.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "base/ids.h"
+#include "membership/view.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace hawthornpick::fleet {
+
+//! A node as it describes itself to its hub. Newer descriptions of a node have the higher
+//! (generation, sequence).
+struct node_record
+{
+    membership::node_entry entry;
+    std::uint64_t generation = 0;
+    std::uint64_t sequence = 0;
+    //! True for nodes that keep the directory for others.
+    bool isHub = false;
+
+    auto operator<=>(const node_record &) const = default;
+
+    //! Thread safety: immutable.
+    [[nodiscard]] auto isNewerThan(const node_record &other) const -> bool
+    {
+        return std::pair(generation, sequence) > std::pair(other.generation, other.sequence);
+    }
+};
+
+//! Requests per second by organisation.
+using demand_map = std::map<base::organisation_id, double>;
+
+//! How much of a hub's directory its reader has: a process of the hub, and the number of the last
+//! change read from it.
+struct directory_mark
+{
+    std::uint64_t boot = 0;
+    std::uint64_t change = 0;
+
+    auto operator<=>(const directory_mark &) const = default;
+};
+
+//! An accepted document with its version. The content is opaque here.
+struct config_document
+{
+    base::config_version version = 0;
+    std::string content;
+
+    auto operator<=>(const config_document &) const = default;
+};
+
+struct report
+{
+    node_record self;
+    directory_mark known;
+    base::config_version version = 0;
+    demand_map demands;
+};
+
+struct report_answer
+{
+    directory_mark mark;
+    //! The records are the whole directory, not only what changed.
+    bool isWhole = false;
+    std::vector<node_record> records;
+    //! False if the hub may have missed committed versions.
+    bool isFresh = false;
+    //! Set if the reporting node has an older version.
+    std::optional<config_document> document;
+    //! Fleet-wide demand of the organisations that the node reported.
+    demand_map totals;
+    //! Generation under which the hub knows the node, if it is newer than the reported one.
+    std::uint64_t knownGeneration = 0;
+};
+
+struct sync_request
+{
+    node_record self;
+    directory_mark known;
+    //! Sum over the nodes that report to the sender.
+    demand_map demands;
+};
+
+struct sync_answer
+{
+    directory_mark mark;
+    std::vector<node_record> records;
+};
+
+struct config_notice
+{
+    config_document document;
+};
+
+using message = std::variant<report, report_answer, sync_request, sync_answer, config_notice>;
+
+//! Thread safety: pure.
+auto encodeMessage(const message &content) -> std::string;
+
+//! Nothing if the bytes are damaged. Thread safety: pure.
+auto decodeMessage(std::string_view bytes) -> std::optional<message>;
+
+//! Identity of a node that is known by its peer address only. Thread safety: pure.
+auto nodeAt(const membership::endpoint &peerAddress) -> base::node_id;
+
+} // namespace hawthornpick::fleet
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -67,6 +67,8 @@
     std::uint32_t waiting = 0;
     //! Mean time of successful requests in a slot.
     base::duration meanService{};
+    //! Chance that the next request is answered, as far as its node can tell.
+    double health = 1.0;
 
     auto operator<=>(const service_load &) const = default;
 };
--- /dev/null
+++ b/src/policy/internal/placement.cpp
@@ -0,0 +1,170 @@
+#include "policy/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornpick::policy {
+
+namespace {
+
+//! Spread of the random part of a value, so that nodes with the same reports do not all choose the
+//! same upstream.
+constexpr double VALUE_NOISE = 0.04;
+//! Load of an upstream about which nothing is known, as a part of its slots.
+constexpr double USUAL_LOAD = 0.5;
+//! Value of the share of free slots: upstreams get slower when they are nearly full.
+constexpr double FREE_SLOT_VALUE = 0.25;
+//! Time of a service before the first report of its mean.
+constexpr base::milliseconds USUAL_SERVICE_TIME{300};
+//! Round trip between regions.
+constexpr base::milliseconds REGION_ROUND_TRIP{41};
+constexpr double ANSWER_BYTES_SMOOTHING = 0.1;
+//! Pause after a refusal by a full upstream: about the time of one request in its slots.
+constexpr base::milliseconds REFUSAL_PAUSE{60};
+
+auto isPathFailure(base::error_kind kind) -> bool
+{
+    return kind == base::error_kind::PeerUnreachable || kind == base::error_kind::OutcomeUnknown;
+}
+
+} // namespace
+
+placement::placement(placement_settings settings, std::uint64_t seed)
+    : m_settings(std::move(settings)), m_random(seed)
+{}
+
+auto placement::choose(const membership::view &view, const placement_request &request,
+                       base::time_point now) -> base::result<const membership::node_entry *>
+{
+    const membership::node_entry *best = nullptr;
+    double bestValue = 0.0;
+    bool hasPaused = false;
+    for (const auto &place : view.upstreamsOf(request.service)) {
+        const auto &excluded = request.excluded;
+        const bool isExcluded =
+                std::find(excluded.begin(), excluded.end(), place.node->id) != excluded.end();
+        if (place.upstream->state != membership::upstream_state::Ready || isExcluded) {
+            continue;
+        }
+        if (isPathPaused(place.node->id, now)) {
+            hasPaused = true;
+            continue;
+        }
+        const auto value = valueOf(place, request, now) + VALUE_NOISE * m_random.unit();
+        if (best == nullptr || value > bestValue) {
+            best = place.node;
+            bestValue = value;
+        }
+    }
+    if (best == nullptr) {
+        return base::fail(hasPaused ? base::error_kind::PeerUnreachable
+                                    : base::error_kind::NoUpstream,
+                          hasPaused ? "all paths to upstreams of the service failed" : "");
+    }
+    auto &state = m_places[{best->id, request.service}];
+    ++state.underWay;
+    ++state.sinceReport;
+    return best;
+}
+
+auto placement::valueOf(const membership::upstream_place &place, const placement_request &request,
+                        base::time_point now) const -> double
+{
+    static const place_state unknown;
+    const auto position = m_places.find({place.node->id, request.service});
+    const auto &state = position == m_places.end() ? unknown : position->second;
+    auto left = request.target - now;
+    if (place.node->region != m_settings.region) {
+        left -= REGION_ROUND_TRIP;
+    }
+    auto value = chanceInTime(state, place.upstream->slots, left, now);
+    if (state.refusedUntil > now) {
+        value -= 0.5;
+    }
+    return value - priceOf(*place.node, request);
+}
+
+auto placement::chanceInTime(const place_state &state, std::uint32_t slots, base::duration left,
+                             base::time_point now) const -> double
+{
+    const auto age = now - state.reportedAt;
+    const double trust =
+            state.reportedAt == base::time_point{} || age >= REPORT_LIFE
+                    ? 0.0
+                    : 1.0 - base::toSeconds(age) / base::toSeconds(REPORT_LIFE);
+    const auto usable = std::max(1U, trust > 0.0 ? state.load.usableSlots : slots);
+    const double reported = trust * (state.load.busySlots + state.load.waiting)
+                            + (1.0 - trust) * USUAL_LOAD * usable;
+    const double busy =
+            std::max<double>(reported + state.sinceReport, static_cast<double>(state.underWay));
+    const auto service = state.load.meanService.count() > 0 ? state.load.meanService
+                                                            : base::duration(USUAL_SERVICE_TIME);
+    const double waiting = std::max(0.0, busy + 1.0 - usable) / usable;
+    const double expected = base::toSeconds(service) * (1.0 + waiting);
+    const double inTime =
+            1.0 / (1.0 + std::pow(expected / std::max(0.001, base::toSeconds(left)), 3.0));
+    const double health = trust * state.load.health + (1.0 - trust) * PRIOR_HEALTH;
+    const double free = std::max(0.0, 1.0 - busy / usable);
+    return health * (inTime + FREE_SLOT_VALUE * free);
+}
+
+auto placement::priceOf(const membership::node_entry &node, const placement_request &request) const
+        -> double
+{
+    if (node.failureDomain == m_settings.failureDomain) {
+        return 0.0;
+    }
+    const auto known = m_answerBytes.find(request.route);
+    const double answer = known == m_answerBytes.end() ? 0.0 : known->second;
+    const double bytes = static_cast<double>(request.requestBytes) + answer;
+    return bytes
+           * (node.region == m_settings.region ? m_settings.domainBytePrice
+                                               : m_settings.regionBytePrice);
+}
+
+auto placement::isPathPaused(const base::node_id &node, base::time_point now) const -> bool
+{
+    const auto path = m_paths.find(node);
+    return path != m_paths.end() && path->second.pausedUntil > now;
+}
+
+auto placement::onEnd(const base::node_id &node, const base::service_id &service,
+                      const std::optional<base::error_kind> &failure,
+                      const std::optional<service_load> &load, base::time_point now) -> void
+{
+    auto &state = m_places[{node, service}];
+    state.underWay -= std::min(state.underWay, 1U);
+    if (load) {
+        onLoad(node, service, *load, now);
+    }
+    if (failure && isPathFailure(*failure)) {
+        auto &path = m_paths[node];
+        const auto shift = std::min(path.failures, 3U);
+        path.pausedUntil = now + std::min(FIRST_PATH_PAUSE * (1U << shift), MAX_PATH_PAUSE);
+        ++path.failures;
+        return;
+    }
+    if (load || !failure) {
+        m_paths.erase(node);
+    }
+    if (failure && base::answerFor(*failure).result == base::outcome::NotRun) {
+        state.refusedUntil = now + REFUSAL_PAUSE;
+    }
+}
+
+auto placement::onLoad(const base::node_id &node, const base::service_id &service,
+                       const service_load &load, base::time_point now) -> void
+{
+    auto &state = m_places[{node, service}];
+    state.load = load;
+    state.reportedAt = now;
+    state.sinceReport = 0;
+}
+
+auto placement::onAnswerBytes(const base::route_id &route, std::size_t bytes) -> void
+{
+    auto &mean = m_answerBytes.try_emplace(route, static_cast<double>(bytes)).first->second;
+    mean += ANSWER_BYTES_SMOOTHING * (static_cast<double>(bytes) - mean);
+}
+
+} // namespace hawthornpick::policy
--- /dev/null
+++ b/src/quorum/tests/quorumfleet.cpp
@@ -0,0 +1,1 @@
+// placeholder
--- a/src/platform/internal/platformserver.cpp
+++ b/src/status/internal/statusserver.cpp
@@ -1,12 +1,12 @@
-#include "platform/platformserver.h"
+#include "status/statusserver.h"
 
 #include "base/log.h"
 
 #include <algorithm>
 
-namespace hawthornpick::platform {
+namespace hawthornpick::status {
 
-platform_server::platform_server(boost::asio::io_context &context,
+status_server::status_server(boost::asio::io_context &context,
                                  const membership::endpoint &address, const base::metrics &metrics,
                                  std::function<std::vector<readiness_check>()> readiness)
     : m_metrics(metrics), m_readiness(std::move(readiness)),
@@ -16,7 +16,7 @@
                })
 {}
 
-auto platform_server::answer(const webapi::request &incoming) const -> webapi::response
+auto status_server::answer(const webapi::request &incoming) const -> webapi::response
 {
     if (incoming.method != "GET") {
         return {405, "text/plain", "only GET is served here\n"};
@@ -33,7 +33,7 @@
     return {404, "text/plain", "paths are /healthz, /readyz and /metrics\n"};
 }
 
-auto platform_server::answerReadiness() const -> webapi::response
+auto status_server::answerReadiness() const -> webapi::response
 {
     const auto checks = m_readiness();
     std::string body;
@@ -46,4 +46,4 @@
     return {ready ? 200U : 503U, "application/json", "{" + body + "}\n"};
 }
 
-} // namespace hawthornpick::platform
+} // namespace hawthornpick::status
--- a/src/platform/platformserver.h
+++ b/src/status/statusserver.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace hawthornpick::platform {
+namespace hawthornpick::status {
 
 //! One condition of readiness.
 struct readiness_check
@@ -20,12 +20,12 @@
 };
 
 //! Serves /healthz, /readyz and /metrics to the platform.
-class platform_server
+class status_server
 {
 public:
     //! `readiness` is called on the thread of `context` for each /readyz request.
     //! Throws boost::system::system_error if the address is in use.
-    platform_server(boost::asio::io_context &context, const membership::endpoint &address,
+    status_server(boost::asio::io_context &context, const membership::endpoint &address,
                     const base::metrics &metrics,
                     std::function<std::vector<readiness_check>()> readiness);
 
@@ -44,4 +44,4 @@
     webapi::server m_server;
 };
 
-} // namespace hawthornpick::platform
+} // namespace hawthornpick::status
--- a/src/platform/tests/platformservertest.cpp
+++ b/src/status/tests/statusservertest.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformserver.h"
+#include "status/statusserver.h"
 #include "webapi/client.h"
 
 #include <CppUTest/TestHarness.h>
@@ -6,15 +6,15 @@
 
 using namespace hawthornpick;
 
-TEST_GROUP(platform_server_test)
+TEST_GROUP(status_server_test)
 {
     base::metrics m_metrics;
     std::atomic<bool> m_current{false};
     boost::asio::io_context m_context{1};
-    std::unique_ptr<platform::platform_server> m_server =
-            std::make_unique<platform::platform_server>(
+    std::unique_ptr<status::status_server> m_server =
+            std::make_unique<status::status_server>(
                     m_context, membership::endpoint{"127.0.0.1", 0}, m_metrics, [this] {
-                        return std::vector<platform::readiness_check>{
+                        return std::vector<status::readiness_check>{
                                 {"config_current", m_current.load()}, {"accepting", true}};
                     });
     membership::endpoint m_address = m_server->address();
@@ -36,7 +36,7 @@
 };
 
 // Guards against a platform that sends callers to a node which would refuse them.
-TEST(platform_server_test, readyOnlyWhenAllChecksPass)
+TEST(status_server_test, readyOnlyWhenAllChecksPass)
 {
     CHECK_EQUAL(200U, get("/healthz").status);
     CHECK_EQUAL(503U, get("/readyz").status);
@@ -45,7 +45,7 @@
     STRCMP_EQUAL("{\"config_current\":true,\"accepting\":true}\n", get("/readyz").body.c_str());
 }
 
-TEST(platform_server_test, metricsAreServedAsText)
+TEST(status_server_test, metricsAreServedAsText)
 {
     m_metrics.countRefusal(base::error_kind::QueueFull);
     STRCMP_CONTAINS("hawthornpick_refusals_total{reason=\"queue_full\"} 1",
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -5,6 +5,7 @@
 #include "upstream/exchange.h"
 #include "upstream/hooks.h"
 #include "upstream/registry.h"
+#include "upstream/wireprofile.h"
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
@@ -18,6 +19,10 @@
     const config::snapshot_cell &configuration;
     const table_cell &upstreams;
     executor_hooks hooks;
+    wire_profile wire = {};
+    //! False if the entry node's check of key and route is enough, because nodes may serve with
+    //! different versions for some seconds.
+    bool checksKeys = true;
 };
 
 class executor_state;
--- a/src/upstream/hooks.h
+++ b/src/upstream/hooks.h
@@ -27,6 +27,8 @@
     DeadlinePassed,
     //! The caller left or failed to send its body; says nothing about the upstream.
     Cancelled,
+    //! The upstream said that it did not run the request.
+    Refused,
 };
 
 //! One attempt as an observation for failure detection.
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -6,6 +6,7 @@
   2: i32 busy_slots
   3: i32 waiting
   4: i64 mean_service_us
+  5: i32 health_percent
 }
 
 // Head of a request stream. `headers` is a block of cleaned header lines, each with CRLF.
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -24,6 +24,8 @@
     switch (result.failure->kind) {
     case error_kind::UpstreamUnreachable:
         return attempt_ending::ConnectFailed;
+    case error_kind::UpstreamRefused:
+        return attempt_ending::Refused;
     case error_kind::UpstreamFailed:
         return attempt_ending::ConnectionLost;
     case error_kind::UpstreamTruncated:
@@ -117,14 +119,17 @@
 auto executor_state::check(const attempt_request &request) -> base::result<void>
 {
     const auto &hooks = m_dependencies.hooks;
-    if (request.nodeIncarnation != m_dependencies.nodeIncarnation) {
+    if (request.nodeIncarnation != 0
+        && request.nodeIncarnation != m_dependencies.nodeIncarnation) {
         return base::fail(error_kind::IncarnationChanged);
     }
     if (hooks.isCurrent && !hooks.isCurrent()) {
         return base::fail(error_kind::ConfigNotCurrent);
     }
-    if (auto key = checkKey(request); !key) {
-        return key;
+    if (m_dependencies.checksKeys) {
+        if (auto key = checkKey(request); !key) {
+            return key;
+        }
     }
     if (request.deadline <= base::clock::now()) {
         return base::fail(error_kind::DeadlineBeforeStart);
@@ -241,7 +246,8 @@
             }
             break;
         }
-        upstream_exchange exchange(**connection, request, service.timeout, source, sink, cancel);
+        upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
+                                   service.timeout, source, sink, cancel);
         result = co_await exchange.run();
         again = !fresh && mayRepeatOnFresh(result, request, (*connection)->reused);
         fresh = true;
--- a/src/upstream/internal/registry.cpp
+++ b/src/upstream/internal/registry.cpp
@@ -55,9 +55,9 @@
 }
 
 upstream_registry::upstream_registry(base::node_id node, queue_function queuePerSlot,
-                                     change_function onChange)
+                                     change_function onChange, base::milliseconds announcementLife)
     : m_node(std::move(node)), m_queuePerSlot(std::move(queuePerSlot)),
-      m_onChange(std::move(onChange)), m_table(std::make_shared<const upstream_table>())
+      m_onChange(std::move(onChange)), m_announcementLife(announcementLife), m_table(std::make_shared<const upstream_table>())
 {}
 
 auto upstream_registry::announce(const announcement &what, base::time_point now) -> announce_result
@@ -71,8 +71,15 @@
     if (known && takesBack(position->second.record->entry, position->second.withdrawn, what)) {
         return announce_result::Outdated;
     }
+    const bool isLate = known && position->second.record->entry.incarnation == what.incarnation
+                        && what.sequence < position->second.announced;
+    if (isLate || isReplaced(what)) {
+        return announce_result::Outdated;
+    }
+    departOlderAt(what);
     auto &slot = m_known[what.name];
-    slot.expiry = now + ANNOUNCEMENT_LIFE;
+    slot.announced = what.sequence;
+    slot.expiry = now + m_announcementLife;
     slot.withdrawn = false;
     if (known && slot.record->entry.incarnation != what.incarnation) {
         slot.usableSlots.reset();
@@ -91,9 +98,29 @@
     next.entry.state = what.state;
     next.entry.incarnation = what.incarnation;
     next.address = what.address;
+    next.name = what.name;
     return next;
 }
 
+auto upstream_registry::isReplaced(const announcement &what) const -> bool
+{
+    return std::any_of(m_known.begin(), m_known.end(), [&what](const auto &item) {
+        const auto &record = *item.second.record;
+        return item.first != what.name && isLive(record) && record.address == what.address
+               && record.entry.incarnation > what.incarnation;
+    });
+}
+
+auto upstream_registry::departOlderAt(const announcement &what) -> void
+{
+    for (auto &[name, slot] : m_known) {
+        if (name != what.name && isLive(*slot.record) && slot.record->address == what.address) {
+            slot.withdrawn = true;
+            depart(slot);
+        }
+    }
+}
+
 auto upstream_registry::hasRoomFor(const known *slot) const -> bool
 {
     if (slot != nullptr && isLive(*slot->record)) {
--- a/src/upstream/internal/upstreamexchange.cpp
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -23,6 +23,10 @@
 constexpr std::size_t READ_BYTES = 16UL * 1024;
 // Fits, with the other fields, into the 64 KB that a head may take on the peer link.
 constexpr std::uint32_t MAX_ANSWER_HEADER_BYTES = 32U * 1024;
+// A longer body is sent beside the reading of the answer.
+constexpr std::size_t INLINE_BODY_BYTES = 2UL * 1024;
+// Late answers to earlier requests that are skipped on one connection.
+constexpr int MAX_FOREIGN_ANSWERS = 3;
 constexpr auto WITH_ERROR = asio::as_tuple(asio::use_awaitable);
 
 auto hexadecimal(std::size_t number) -> std::string
@@ -61,29 +65,31 @@
 
 } // namespace
 
-auto formatUpstreamRequest(const attempt_request &request, base::time_point now) -> std::string
+auto formatUpstreamHead(const attempt_request &request, const wire_profile &wire,
+                        const std::string &upstreamName, base::time_point now) -> std::string
 {
     std::string out;
-    out.reserve(request.target.size() + request.headers.size() + request.body.size() + 256);
+    out.reserve(request.target.size() + request.headers.size() + 256);
     out.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     out.append(request.headers);
     const auto remaining = std::max<std::int64_t>(base::toMilliseconds(request.deadline - now), 0);
-    appendHeader(out, "X-Request-Deadline-Ms", std::to_string(remaining));
-    appendHeader(out, "X-Request-Id", request.requestId);
+    appendHeader(out, wire.deadline, std::to_string(remaining));
+    appendHeader(out, wire.requestId, request.requestId);
+    if (!wire.upstream.empty()) {
+        appendHeader(out, wire.upstream, upstreamName);
+    }
     appendFraming(out, request);
     out.append("\r\n");
-    const bool chunked = !request.bodyComplete && !request.contentLength;
-    if (!request.body.empty()) {
-        out.append(chunked ? asChunk(request.body) : request.body);
-    }
     return out;
 }
 
 upstream_exchange::upstream_exchange(upstream_connection &connection,
-                                     const attempt_request &request, base::milliseconds timeout,
+                                     const attempt_request &request, const wire_profile &wire,
+                                     const std::string &upstreamName, base::milliseconds timeout,
                                      const body_source &source, const answer_sink &sink,
                                      cancellation &cancel)
-    : m_connection(connection), m_request(request), m_timeout(timeout), m_source(source),
+    : m_connection(connection), m_request(request), m_wire(wire), m_upstreamName(upstreamName),
+      m_timeout(timeout), m_source(source),
       m_sink(sink), m_cancel(cancel), m_bodyDone(connection.socket.get_executor())
 {}
 
@@ -92,7 +98,8 @@
     m_cancel.onRequest([this] { m_connection.close(); });
     limitTime(base::clock::now() + m_timeout);
     if (co_await sendHead()) {
-        if (!m_request.bodyComplete) {
+        const bool isWhole = m_request.bodyComplete && m_request.body.size() <= INLINE_BODY_BYTES;
+        if (!isWhole) {
             m_bodyRunning = true;
             m_bodySent = false;
             asio::co_spawn(m_connection.socket.get_executor(), sendBody(), asio::detached);
@@ -105,7 +112,8 @@
     if (m_cancel.reason()) {
         fail(*m_cancel.reason(), "cancelled");
     }
-    m_result.reusable = !m_result.failure && m_bodySent && m_parser->is_done()
+    const bool isOrderly = !m_result.failure || m_result.refusedByUpstream;
+    m_result.reusable = isOrderly && m_bodySent && m_parser->is_done()
                         && m_parser->get().keep_alive() && m_connection.buffer.size() == 0
                         && m_connection.socket.is_open();
     co_return m_result;
@@ -146,7 +154,10 @@
 
 auto upstream_exchange::sendHead() -> asio::awaitable<bool>
 {
-    const auto bytes = formatUpstreamRequest(m_request, base::clock::now());
+    auto bytes = formatUpstreamHead(m_request, m_wire, m_upstreamName, base::clock::now());
+    if (m_request.bodyComplete && m_request.body.size() <= INLINE_BODY_BYTES) {
+        bytes.append(m_request.body);
+    }
     const auto [error, count] =
             co_await asio::async_write(m_connection.socket, asio::buffer(bytes), WITH_ERROR);
     m_result.nothingSent = count == 0;
@@ -158,9 +169,24 @@
     co_return true;
 }
 
+// Sends the part of the body that came with the request.
+auto upstream_exchange::sendBuffered() -> asio::awaitable<bool>
+{
+    if (m_request.body.empty()) {
+        co_return true;
+    }
+    co_return co_await sendPart(m_request.body);
+}
+
+// Runs beside the reading of the answer, because an upstream may answer before it has taken the
+// body and read the rest later.
 auto upstream_exchange::sendBody() -> asio::awaitable<void>
 {
-    for (bool open = true; open;) {
+    const bool isBufferSent = co_await sendBuffered();
+    if (m_request.bodyComplete) {
+        m_bodySent = isBufferSent;
+    }
+    for (bool open = isBufferSent && !m_request.bodyComplete; open;) {
         m_result.sourceUsed = true;
         auto part = co_await m_source.read();
         if (!part) {
@@ -181,7 +207,7 @@
 
 auto upstream_exchange::sendPart(std::string part) -> asio::awaitable<bool>
 {
-    const bool chunked = !m_request.contentLength;
+    const bool chunked = !m_request.bodyComplete && !m_request.contentLength;
     if (part.empty() && !chunked) {
         co_return true;
     }
@@ -202,7 +228,9 @@
         co_return;
     }
     m_joining = true;
-    m_source.stop();
+    if (m_source.stop) {
+        m_source.stop();
+    }
     m_connection.close();
     while (m_bodyRunning) {
         co_await m_bodyDone.wait();
@@ -274,9 +302,72 @@
     return equalIgnoreCase({value.data(), value.size()}, "chunked");
 }
 
+auto upstream_exchange::belongsToRequest() -> bool
+{
+    if (!m_wire.echoesRequestId) {
+        return true;
+    }
+    const auto &fields = m_parser->get();
+    const auto id = fields.find(m_wire.requestId);
+    if (id == fields.end()) {
+        // An upstream that refuses a request may do so without having read its id.
+        return m_parser->get().result_int() >= 400 && !m_connection.reused;
+    }
+    const auto value = id->value();
+    return std::string_view(value.data(), value.size()) == m_request.requestId;
+}
+
+auto upstream_exchange::isRefusal() -> bool
+{
+    const auto status = m_parser->get().result_int();
+    return status == 421
+           || (!m_wire.notRun.empty() && m_parser->get().count(m_wire.notRun) > 0);
+}
+
+// Reads the head of the answer to this request and skips late answers to earlier ones.
+auto upstream_exchange::readOwnHead() -> asio::awaitable<bool>
+{
+    for (int skipped = 0; skipped <= MAX_FOREIGN_ANSWERS; ++skipped) {
+        const bool hasHead = co_await readHead();
+        if (!hasHead) {
+            co_return false;
+        }
+        if (belongsToRequest()) {
+            co_return true;
+        }
+        const bool isSkipped = co_await skipBody();
+        if (!isSkipped) {
+            co_return false;
+        }
+    }
+    failRead("the upstream answers other requests");
+    co_return false;
+}
+
+auto upstream_exchange::skipBody() -> asio::awaitable<bool>
+{
+    while (!m_parser->is_done()) {
+        const auto part = co_await readPart();
+        if (!part) {
+            co_return false;
+        }
+    }
+    co_return !m_sawEnd;
+}
+
 auto upstream_exchange::readAnswer() -> asio::awaitable<void>
 {
-    if (!co_await readHead()) {
+    const bool hasHead = co_await readOwnHead();
+    if (!hasHead) {
+        co_return;
+    }
+    if (isRefusal()) {
+        const bool isRead = co_await skipBody();
+        if (isRead || !m_result.failure) {
+            m_result.failure =
+                    base::error{error_kind::UpstreamRefused, "the upstream did not run the request"};
+            m_result.refusedByUpstream = true;
+        }
         co_return;
     }
     m_result.headTime = base::clock::now();
--- a/src/upstream/internal/upstreamexchange.h
+++ b/src/upstream/internal/upstreamexchange.h
@@ -3,6 +3,7 @@
 #include "upstream/exchange.h"
 #include "upstream/internal/connectionpool.h"
 #include "upstream/wakesignal.h"
+#include "upstream/wireprofile.h"
 
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -22,6 +23,8 @@
     bool lostBeforeAnswer = false;
     //! Part of the body was taken from the source and can't be sent again.
     bool sourceUsed = false;
+    //! The upstream said that it did not run the request.
+    bool refusedByUpstream = false;
     //! The connection can serve another request.
     bool reusable = false;
     //! Time of the answer head; empty if there was none.
@@ -34,6 +37,7 @@
 {
 public:
     upstream_exchange(upstream_connection &connection, const attempt_request &request,
+                      const wire_profile &wire, const std::string &upstreamName,
                       base::milliseconds timeout, const body_source &source,
                       const answer_sink &sink, cancellation &cancel);
 
@@ -43,11 +47,16 @@
     using parser_type = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     auto sendHead() -> boost::asio::awaitable<bool>;
+    auto sendBuffered() -> boost::asio::awaitable<bool>;
     auto sendBody() -> boost::asio::awaitable<void>;
     auto sendPart(std::string part) -> boost::asio::awaitable<bool>;
     auto joinBody() -> boost::asio::awaitable<void>;
     auto readAnswer() -> boost::asio::awaitable<void>;
     auto readHead() -> boost::asio::awaitable<bool>;
+    auto readOwnHead() -> boost::asio::awaitable<bool>;
+    auto skipBody() -> boost::asio::awaitable<bool>;
+    auto belongsToRequest() -> bool;
+    auto isRefusal() -> bool;
     auto readPart() -> boost::asio::awaitable<std::optional<std::string>>;
     auto fill() -> boost::asio::awaitable<bool>;
     auto forwardStart(std::string body) -> boost::asio::awaitable<bool>;
@@ -60,6 +69,8 @@
 
     upstream_connection &m_connection;
     const attempt_request &m_request;
+    const wire_profile &m_wire;
+    const std::string &m_upstreamName;
     base::milliseconds m_timeout;
     const body_source &m_source;
     const answer_sink &m_sink;
@@ -75,8 +86,8 @@
     bool m_gotBytes = false;
 };
 
-//! Returns the request line, headers and the given start of the body as sent to an upstream.
-//! Thread safety: pure.
-auto formatUpstreamRequest(const attempt_request &request, base::time_point now) -> std::string;
+//! Returns the request line and headers as sent to an upstream. Thread safety: pure.
+auto formatUpstreamHead(const attempt_request &request, const wire_profile &wire,
+                        const std::string &upstreamName, base::time_point now) -> std::string;
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -21,14 +21,17 @@
                                    const service_dependencies &dependencies)
     : m_contexts(std::move(contexts)),
       m_registry(dependencies.node, queueRule(dependencies.configuration),
-                 dependencies.onUpstreamsChanged),
-      m_announcements(*m_contexts.front(), announceAddress, m_registry)
+                 dependencies.onUpstreamsChanged, dependencies.announcementLife)
 {
+    if (!announceAddress.address.empty()) {
+        m_announcements.emplace(*m_contexts.front(), announceAddress, m_registry);
+    }
     for (auto *context : m_contexts) {
         m_executors.push_back(std::make_unique<executor>(
                 *context,
                 executor_dependencies{dependencies.nodeIncarnation, dependencies.configuration,
-                                      m_registry.table(), dependencies.hooks}));
+                                      m_registry.table(), dependencies.hooks, dependencies.wire,
+                                      dependencies.checksKeys}));
     }
 }
 
@@ -41,7 +44,11 @@
 
 auto upstream_service::stop() -> void
 {
-    boost::asio::post(*m_contexts.front(), [this] { m_announcements.stop(); });
+    boost::asio::post(*m_contexts.front(), [this] {
+        if (m_announcements) {
+            m_announcements->stop();
+        }
+    });
     for (const auto &target : m_executors) {
         boost::asio::post(target->context(), [target = target.get()] { target->stop(); });
     }
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -3,10 +3,14 @@
 #include "base/thriftcodec.h"
 #include "upstream/generated/requestwire_types.h"
 
+#include <cmath>
+
 namespace hawthornpick::upstream {
 
 namespace {
 
+constexpr double PERCENT = 100.0;
+
 auto toWire(const policy::service_load &load) -> wire::load_report
 {
     wire::load_report out;
@@ -15,6 +19,7 @@
     out.waiting = static_cast<std::int32_t>(load.waiting);
     out.mean_service_us =
             std::chrono::duration_cast<std::chrono::microseconds>(load.meanService).count();
+    out.health_percent = static_cast<std::int32_t>(std::lround(load.health * PERCENT));
     return out;
 }
 
@@ -22,7 +27,8 @@
 {
     return {static_cast<std::uint32_t>(load.usable_slots),
             static_cast<std::uint32_t>(load.busy_slots), static_cast<std::uint32_t>(load.waiting),
-            std::chrono::microseconds(load.mean_service_us)};
+            std::chrono::microseconds(load.mean_service_us),
+            static_cast<double>(load.health_percent) / PERCENT};
 }
 
 auto errorFromWire(std::int8_t number, std::string detail) -> base::error
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -27,6 +27,8 @@
     std::uint32_t slots = 1;
     membership::upstream_state state = membership::upstream_state::Starting;
     base::incarnation incarnation = 0;
+    //! Increases with each announcement of an incarnation; 0 if the upstream gives none.
+    std::uint64_t sequence = 0;
 
     auto operator<=>(const announcement &) const = default;
 };
@@ -36,6 +38,8 @@
 {
     membership::upstream_entry entry;
     membership::endpoint address;
+    //! Name that the upstream gave itself.
+    std::string name;
 };
 
 using queue_pointer = std::shared_ptr<policy::fair_queue>;
@@ -91,10 +95,12 @@
     //! Returns how many requests may wait for each slot of a service's upstreams.
     using queue_function = std::function<std::uint32_t(const base::service_id &service)>;
 
-    upstream_registry(base::node_id node, queue_function queuePerSlot, change_function onChange);
+    upstream_registry(base::node_id node, queue_function queuePerSlot, change_function onChange,
+                      base::milliseconds announcementLife = ANNOUNCEMENT_LIFE);
 
     //! Records an announcement. Within one incarnation `Draining` and a withdrawal are final, while
-    //! an upstream whose announcement expired may come back.
+    //! an upstream whose announcement expired may come back. Of two upstreams at one address the
+    //! one with the higher incarnation has replaced the other.
     auto announce(const announcement &what, base::time_point now) -> announce_result;
 
     //! Records that an upstream leaves; false if it is unknown.
@@ -118,6 +124,7 @@
     {
         std::shared_ptr<const upstream_record> record;
         base::time_point expiry;
+        std::uint64_t announced = 0;
         bool withdrawn = false;
         // Decision of the policy; without one all announced slots are used.
         std::optional<std::uint32_t> usableSlots;
@@ -125,6 +132,8 @@
     };
 
     [[nodiscard]] auto hasRoomFor(const known *slot) const -> bool;
+    [[nodiscard]] auto isReplaced(const announcement &what) const -> bool;
+    auto departOlderAt(const announcement &what) -> void;
     [[nodiscard]] auto nextRecord(upstream_record next, const announcement &what) const
             -> upstream_record;
     auto replace(known &slot, upstream_record next) -> void;
@@ -136,6 +145,7 @@
     base::node_id m_node;
     queue_function m_queuePerSlot;
     change_function m_onChange;
+    base::milliseconds m_announcementLife;
     mutable std::mutex m_mutex;
     std::map<std::string, known> m_known;
     queue_map m_queues;
--- a/src/upstream/upstreamservice.h
+++ b/src/upstream/upstreamservice.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace hawthornpick::upstream {
@@ -21,6 +22,9 @@
     executor_hooks hooks;
     //! Called on any thread after each change of the upstreams of this host.
     upstream_registry::change_function onUpstreamsChanged;
+    wire_profile wire = {};
+    bool checksKeys = true;
+    base::milliseconds announcementLife = upstream_registry::ANNOUNCEMENT_LIFE;
 };
 
 //! Wires the upstream module: registry, announce endpoint and one executor for each I/O thread.
@@ -28,7 +32,8 @@
 {
 public:
     //! Precondition: each context is run by one thread and outlives the service; `contexts` is not
-    //! empty. The announce endpoint runs on the first context.
+    //! empty. The announce endpoint runs on the first context; an empty address gives none, and
+    //! then `registry` is fed by other means and `expire` of it is called there.
     //! Throws as `announce_server` does.
     upstream_service(std::vector<boost::asio::io_context *> contexts,
                      const membership::endpoint &announceAddress,
@@ -36,7 +41,10 @@
 
     //! Thread safety: any thread.
     auto registry() -> upstream_registry & { return m_registry; }
-    [[nodiscard]] auto announcePort() const -> std::uint16_t { return m_announcements.port(); }
+    [[nodiscard]] auto announcePort() const -> std::uint16_t
+    {
+        return m_announcements ? m_announcements->port() : 0;
+    }
 
     //! Returns the executor of the I/O thread with the given index, in the order of `contexts`.
     //! Thread safety: any thread; the executor belongs to its thread.
@@ -51,7 +59,7 @@
 private:
     std::vector<boost::asio::io_context *> m_contexts;
     upstream_registry m_registry;
-    announce_server m_announcements;
+    std::optional<announce_server> m_announcements;
     std::vector<std::unique_ptr<executor>> m_executors;
 };
 
--- a/src/webapi/internal/server.cpp
+++ b/src/webapi/internal/server.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -35,6 +36,11 @@
     return std::string(authorization.substr(BEARER.size()));
 }
 
+auto lowerCase(char item) -> char
+{
+    return item >= 'A' && item <= 'Z' ? static_cast<char>(item + ('a' - 'A')) : item;
+}
+
 auto toRequest(const http::request<http::string_body> &message) -> std::optional<request>
 {
     const auto target = message.target();
@@ -49,6 +55,11 @@
         out.query[item.key] = item.value;
     }
     out.bearerToken = tokenOf(message[http::field::authorization]);
+    for (const auto &field : message) {
+        std::string name(field.name_string());
+        std::transform(name.begin(), name.end(), name.begin(), lowerCase);
+        out.headers[name] = std::string(field.value());
+    }
     out.body = message.body();
     return out;
 }
--- a/src/webapi/message.h
+++ b/src/webapi/message.h
@@ -17,6 +17,8 @@
     //! Value of the `Authorization` header without the scheme `Bearer`.
     std::string bearerToken;
     std::string body;
+    //! Header values by name in lower case; the last one of a repeated header.
+    std::map<std::string, std::string> headers = {};
 
     auto operator<=>(const request &) const = default;
 };
