Judge upstreams by a hidden Markov filter and repeat late requests

Change: the executing node filters its requests (health_belief), reports the health with its load, and refuses when it is worse than the entry node assumed; idempotent requests are repeated at the 92nd percentile of their route within a local part of the fleet's budget.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -1,15 +1,19 @@
 #include "app/meshnode.h"
 
+#include "app/internal/decisionlog.h"
 #include "app/internal/meshcontrol.h"
 #include "app/internal/peeracceptor.h"
+#include "app/internal/upstreamhealth.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "caller/callerserver.h"
 #include "policy/placement.h"
+#include "policy/repeatbudget.h"
 #include "status/statusserver.h"
 #include "upstream/upstreamservice.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <algorithm>
 #include <chrono>
 
 namespace hawthornpick::app {
@@ -32,7 +36,25 @@
 constexpr int MISSED_HEARTBEATS = 8;
 //! Longest answer that is kept until it is complete; longer ones are passed on as they arrive.
 constexpr std::size_t COLLECTED_ANSWER_BYTES = 1024UL * 1024;
+constexpr unsigned FIRST_SERVER_ERROR = 500;
 constexpr unsigned MAX_PLACEMENTS = 6;
+//! How much worse an upstream may be than the entry node believed before its node refuses. A
+//! request that can be repeated may explore; one that can't goes to the surest upstream.
+constexpr double HEALTH_MARGIN_ONCE = 0.15;
+constexpr double HEALTH_MARGIN_REPEATABLE = 0.35;
+//! An idempotent request is repeated once this share of the requests of its route is answered.
+constexpr double REPEAT_QUANTILE = 0.92;
+//! Bounds of the time until a repeat, as parts of the target latency.
+constexpr double MIN_REPEAT_PART = 0.3;
+constexpr double MAX_REPEAT_PART = 0.7;
+//! Part of the fleet's limit of repeats that nodes use: calls made by a repeated request count as
+//! repeats of the called service.
+constexpr double REPEAT_SHARE_PART = 0.6;
+constexpr double REPEAT_SLACK_PART = 0.5;
+//! Bounds of the time after which a refused caller should come back. Spread out, so that callers
+//! that were refused together do not return together.
+constexpr base::milliseconds MIN_RETRY_AFTER{150};
+constexpr base::milliseconds MAX_RETRY_AFTER{600};
 
 auto identityOf(const config::mesh_settings &settings) -> peer::link_identity
 {
@@ -60,6 +82,8 @@
           m_configuration(std::make_shared<const config::snapshot>()),
           m_fleet(std::make_shared<const membership::view>()),
           m_placement(placementSettings(settings), base::systemSeed()),
+          m_health(m_configuration), m_random(base::systemSeed()),
+          m_repeats({settings.repeatShare * REPEAT_SHARE_PART, 0.0, settings.repeatWindow}),
           m_control(context, settings, m_adapter, m_identity, m_metrics, controlSinks()),
           m_upstreams({&context}, {}, upstreamDependencies()),
           m_links(context, m_identity,
@@ -130,6 +154,7 @@
             m_configuration.store(std::move(snapshot));
         };
         sinks.onView = [this](membership::view_pointer view) {
+            onView(*view);
             m_fleet.store(std::move(view));
         };
         sinks.onTotals = [](const fleet::demand_map & /*totals*/) {
@@ -140,12 +165,40 @@
         return sinks;
     }
 
+    // The slack of the fleet is divided among the nodes that take requests.
+    auto onView(const membership::view &view) -> void
+    {
+        const auto &nodes = view.nodes();
+        const auto entries = std::count_if(nodes.begin(), nodes.end(), [](const auto &node) {
+            return !node.upstreams.empty();
+        });
+        m_repeats.setSlack(m_settings.repeatSlack * REPEAT_SLACK_PART
+                           / std::max<double>(1.0, static_cast<double>(entries)));
+    }
+
+    auto executorHooks() -> upstream::executor_hooks
+    {
+        upstream::executor_hooks hooks;
+        hooks.onStart = [this](const upstream::attempt_observation &observation) {
+            m_health.onStart(observation);
+        };
+        hooks.onFinish = [this](const upstream::attempt_observation &observation,
+                                const upstream::attempt_finish &finish) {
+            m_health.onFinish(observation, finish);
+            logAttempt(observation, finish);
+        };
+        hooks.health = [this](const base::service_id &service) {
+            return m_health.healthOf(service, base::clock::now());
+        };
+        return hooks;
+    }
+
     auto upstreamDependencies() -> upstream::service_dependencies
     {
         return {m_identity.node,
                 m_identity.incarnation,
                 m_configuration,
-                {},
+                executorHooks(),
                 [this](const std::vector<membership::upstream_entry> &entries) {
                     m_control.setUpstreams(entries);
                 },
@@ -170,6 +223,27 @@
         hooks.onAttemptEnd = [this](const caller::attempt_report &report) {
             onAttemptEnd(report);
         };
+        hooks.onFirstAttempt = [this](const config::service &service,
+                                      const base::organisation_id & /*organisation*/) {
+            m_repeats.onRequest(service.id, base::clock::now());
+        };
+        hooks.spendRetry = [this](const config::service &service,
+                                  const base::organisation_id & /*organisation*/) {
+            return m_repeats.trySpend(service.id, base::clock::now());
+        };
+        hooks.repeatAfter = [this](const caller::selection_request &request,
+                                   const caller::chosen_node & /*chosen*/) {
+            return repeatAfter(request);
+        };
+        hooks.retryAfter = [this](const base::error & /*why*/,
+                                  const caller::selection_request & /*request*/) {
+            const auto spread = (MAX_RETRY_AFTER - MIN_RETRY_AFTER).count();
+            return MIN_RETRY_AFTER
+                   + base::milliseconds(m_random.below(static_cast<std::uint64_t>(spread)));
+        };
+        hooks.onRequestEnd = [this](const caller::request_report &report) {
+            onRequestEnd(report);
+        };
         hooks.callerService = [this] {
             return m_settings.service;
         };
@@ -187,18 +261,77 @@
         if (!node) {
             return tl::unexpected(node.error());
         }
-        return caller::chosen_node{(*node)->id, 0, (*node)->peerAddress};
+        const double margin = request.idempotent ? HEALTH_MARGIN_REPEATABLE : HEALTH_MARGIN_ONCE;
+        return caller::chosen_node{node->node->id, 0, node->node->peerAddress,
+                                   std::max(0.0, node->health - margin)};
     }
 
     auto onAttemptEnd(const caller::attempt_report &report) -> void
     {
-        m_placement.onEnd(report.chosen.id, report.service, report.failure, report.load,
-                          base::clock::now());
-        if (!report.failure) {
+        const auto now = base::clock::now();
+        m_placement.onEnd(report.chosen.id, report.service, report.failure, report.load, now);
+        const bool isCancelled = report.failure == base::error_kind::CallerGone;
+        if (report.failure && !isCancelled) {
+            m_log.write(log_event::AttemptFailed, now,
+                        {{"request", report.requestId},
+                         {"service", report.service.str()},
+                         {"node", report.chosen.id.str()},
+                         {"reason", base::answerFor(*report.failure).reason},
+                         {"ms", base::toMilliseconds(report.elapsed)},
+                         {"health", report.load ? report.load->health : -1.0},
+                         {"busy", report.load ? report.load->busySlots : 0},
+                         {"waiting", report.load ? report.load->waiting : 0}});
+        }
+        if (!report.failure && report.status < FIRST_SERVER_ERROR) {
             m_placement.onAnswerBytes(report.route, report.answerBytes);
+            m_latencies.record(report.route, report.elapsed);
         }
     }
 
+    auto logAttempt(const upstream::attempt_observation &observation,
+                    const upstream::attempt_finish &finish) -> void
+    {
+        const auto now = base::clock::now();
+        m_log.write(log_event::UpstreamHealth, now,
+                    {{"request", observation.requestId},
+                     {"route", observation.route.str()},
+                     {"upstream", observation.upstream.str()},
+                     {"ending", upstream::endingName(finish.ending)},
+                     {"ms", base::toMilliseconds(finish.latency)},
+                     {"health", m_health.healthOf(observation.service, now)}});
+    }
+
+    auto onRequestEnd(const caller::request_report &report) -> void
+    {
+        const auto event = report.failure || report.status >= FIRST_SERVER_ERROR
+                                   ? log_event::RequestFailed
+                                   : log_event::RequestServed;
+        m_log.write(event, base::clock::now(),
+                    {{"request", report.requestId},
+                     {"route", report.route.str()},
+                     {"service", report.service.str()},
+                     {"organisation", report.organisation.str()},
+                     {"version", report.version},
+                     {"attempts", report.attempts},
+                     {"status", report.status},
+                     {"reason",
+                      report.failure ? base::answerFor(report.failure->kind).reason : "answered"},
+                     {"detail", report.failure ? report.failure->detail : ""},
+                     {"retry_after_ms", report.retryAfter.count()},
+                     {"ms", base::toMilliseconds(report.elapsed)},
+                     {"late", report.isLate}});
+    }
+
+    auto repeatAfter(const caller::selection_request &request) const -> base::duration
+    {
+        const auto target = request.target - request.arrival;
+        const auto usual = m_latencies.quantile(request.route, REPEAT_QUANTILE, target);
+        const auto part = [target](double share) {
+            return std::chrono::duration_cast<base::duration>(target * share);
+        };
+        return std::clamp(usual, part(MIN_REPEAT_PART), part(MAX_REPEAT_PART));
+    }
+
     auto access() -> mesh_access
     {
         mesh_access out;
@@ -269,6 +402,11 @@
     config::snapshot_cell m_configuration;
     base::snapshot_cell<membership::view> m_fleet;
     policy::placement m_placement;
+    upstream_health m_health;
+    policy::latency_model m_latencies;
+    base::random_source m_random;
+    policy::repeat_budget m_repeats;
+    decision_log m_log;
     mesh_control m_control;
     upstream::upstream_service m_upstreams;
     peer::link_pool m_links;
--- /dev/null
+++ b/src/app/internal/upstreamhealth.cpp
@@ -0,0 +1,85 @@
+#include "app/internal/upstreamhealth.h"
+
+#include <algorithm>
+
+namespace hawthornpick::app {
+
+namespace {
+
+//! Upstreams that had no request for longer are forgotten.
+constexpr std::size_t MAX_UPSTREAMS = 64;
+
+auto evidenceOf(upstream::attempt_ending ending) -> policy::health_evidence
+{
+    switch (ending) {
+    case upstream::attempt_ending::Answered:
+        return policy::health_evidence::Answered;
+    case upstream::attempt_ending::ServerError:
+        return policy::health_evidence::ServerError;
+    case upstream::attempt_ending::ConnectFailed:
+    case upstream::attempt_ending::ConnectionLost:
+    case upstream::attempt_ending::Truncated:
+    case upstream::attempt_ending::Refused:
+        return policy::health_evidence::Failed;
+    // What these show is how long the request went without an answer.
+    case upstream::attempt_ending::TimedOut:
+    case upstream::attempt_ending::DeadlinePassed:
+    case upstream::attempt_ending::Cancelled:
+        break;
+    }
+    return policy::health_evidence::Cancelled;
+}
+
+} // namespace
+
+auto upstream_health::stateOf(const upstream::attempt_observation &observation) -> upstream_state &
+{
+    const auto position = m_upstreams.find(observation.upstream);
+    if (position != m_upstreams.end()
+        && position->second.incarnation == observation.upstreamIncarnation) {
+        return position->second;
+    }
+    if (m_upstreams.size() >= MAX_UPSTREAMS) {
+        m_upstreams.clear();
+    }
+    m_upstreams.erase(observation.upstream);
+    const upstream_state fresh{observation.upstreamIncarnation, observation.service,
+                               policy::health_belief({}, m_latencies)};
+    return m_upstreams.emplace(observation.upstream, fresh).first->second;
+}
+
+auto upstream_health::onStart(const upstream::attempt_observation &observation) -> void
+{
+    const auto snapshot = m_configuration.load();
+    const auto *route = config::findRoute(snapshot->set(), observation.route);
+    const auto target = route == nullptr ? base::milliseconds(0)
+                        : route->targetLatency.count() > 0 ? route->targetLatency
+                                                           : route->deadline;
+    stateOf(observation)
+            .belief.onStart(observation.attempt, observation.route, target, observation.started);
+}
+
+auto upstream_health::onFinish(const upstream::attempt_observation &observation,
+                               const upstream::attempt_finish &finish) -> void
+{
+    const auto now = observation.started + finish.latency;
+    const auto evidence = evidenceOf(finish.ending);
+    if (evidence == policy::health_evidence::Answered) {
+        m_latencies.record(observation.route, finish.latency);
+    }
+    stateOf(observation).belief.onEnd(observation.attempt, evidence, now);
+}
+
+auto upstream_health::healthOf(const base::service_id &service, base::time_point now) const
+        -> double
+{
+    double health = 1.0;
+    for (const auto &[id, state] : m_upstreams) {
+        if (state.service == service) {
+            health = std::min(health, state.belief.health(now));
+        }
+    }
+    return health;
+}
+
+} // namespace hawthornpick::app
--- a/src/base/internal/log.cpp
+++ b/src/base/internal/log.cpp
@@ -6,6 +6,8 @@
 #include <cstdio>
 #include <ctime>
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -52,15 +54,43 @@
     return std::string(text.data(), length) + fraction.data();
 }
 
-//! Writes each message to standard error with one call, so that lines of several threads do not
+//! Longest line that a pipe takes whole or not at all.
+constexpr std::size_t MAX_LINE_BYTES = 4096;
+
+//! Lines lost because the reader of the log was too slow.
+std::atomic<std::uint64_t> lostLines{0};
+
+// A pipe that polls as writable has room for MAX_LINE_BYTES.
+auto writeWithoutWaiting(const std::string &line) -> bool
+{
+    pollfd state{STDOUT_FILENO, POLLOUT, 0};
+    if (line.size() > MAX_LINE_BYTES || ::poll(&state, 1, 0) <= 0
+        || (state.revents & POLLOUT) == 0) {
+        return false;
+    }
+    return ::write(STDOUT_FILENO, line.data(), line.size())
+           == static_cast<ssize_t>(line.size());
+}
+
+//! Writes each message to standard output with one call, so that lines of several threads do not
 //! mix.
-class stderr_callback : public el::LogDispatchCallback
+class stdout_callback : public el::LogDispatchCallback
 {
 protected:
     auto handle(const el::LogDispatchData *data) -> void override
     {
-        const auto line = data->logMessage()->message() + "\n";
-        std::fwrite(line.data(), 1, line.size(), stderr);
+        const auto lost = lostLines.load(std::memory_order_relaxed);
+        if (lost > 0) {
+            const auto notice = formatLogLine(currentTime(), log_level::Warning, currentNodeName(),
+                                              "log_lines_lost", {{"count", lost}})
+                                + "\n";
+            if (writeWithoutWaiting(notice)) {
+                lostLines.fetch_sub(lost, std::memory_order_relaxed);
+            }
+        }
+        if (!writeWithoutWaiting(data->logMessage()->message() + "\n")) {
+            lostLines.fetch_add(1, std::memory_order_relaxed);
+        }
     }
 };
 
@@ -121,7 +151,7 @@
     el::Loggers::reconfigureAllLoggers(configuration);
     el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>(
             "DefaultLogDispatchCallback");
-    el::Helpers::installLogDispatchCallback<stderr_callback>("stderr_callback");
+    el::Helpers::installLogDispatchCallback<stdout_callback>("stdout_callback");
 }
 
 auto logLevelFromName(std::string_view name) -> log_level
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -39,7 +39,8 @@
     value_type value;
 };
 
-//! Sets up JSON lines on standard error. Call once at the start of the process.
+//! Sets up JSON lines on standard output. A reader that stops reading loses lines, which are
+//! counted in a later one; writing never waits for it. Call once at the start of the process.
 //! Thread safety: before other threads start.
 auto configureLogging(log_level minimum, std::string_view nodeName) -> void;
 
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -40,6 +40,8 @@
     base::node_id id;
     base::incarnation incarnation = 0;
     membership::endpoint address;
+    //! Health of its upstream below which the node is to refuse.
+    double minHealth = 0.0;
 
     auto operator<=>(const chosen_node &) const = default;
 };
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -171,6 +171,8 @@
     ++m_placements;
     m_request.attempt = m_owner.random().attemptId();
     m_request.nodeIncarnation = chosen.incarnation;
+    const bool isLastPlacement = m_placements >= m_owner.dependencies().hooks.rules.maxPlacements;
+    m_request.minHealth = isLastPlacement ? 0.0 : chosen.minHealth;
     if (m_record) {
         auto claim = co_await m_record->prepareAttempt(m_request, chosen);
         if (claim && std::holds_alternative<idempotency_replay>(*claim)) {
@@ -340,7 +342,10 @@
         || base::clock::now() >= m_request.deadline) {
         co_return false;
     }
-    (isUpstreamFailure(kind) ? m_failed : m_excluded).push_back(item.chosen.id);
+    // A node that suspects its upstream has told so, and is compared with the others again.
+    if (kind != error_kind::UpstreamSuspected) {
+        (isUpstreamFailure(kind) ? m_failed : m_excluded).push_back(item.chosen.id);
+    }
     const bool isFree = rules.refusalsAreFree && isRefusal && kind != error_kind::UpstreamRefused;
     if (!isFree && !spendRepeat()) {
         // Only a refusal before start may be reported under a kind that says "not run".
--- a/src/config/internal/model.cpp
+++ b/src/config/internal/model.cpp
@@ -169,6 +169,11 @@
     return findSorted(set.services, id);
 }
 
+auto findRoute(const config_set &set, const base::route_id &id) -> const route *
+{
+    return findSorted(set.routes, id);
+}
+
 auto servicesOf(const route &item) -> std::vector<weighted_service>
 {
     if (!item.split.empty()) {
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -139,6 +139,7 @@
         -> const organisation *;
 auto findKey(const config_set &set, const base::key_id &id) -> const key *;
 auto findService(const config_set &set, const base::service_id &id) -> const service *;
+auto findRoute(const config_set &set, const base::route_id &id) -> const route *;
 
 //! Services that requests of a route may run on: the parts of its split, or its only service.
 //! Thread safety: pure.
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -34,7 +34,7 @@
 {}
 
 auto placement::choose(const membership::view &view, const placement_request &request,
-                       base::time_point now) -> base::result<const membership::node_entry *>
+                       base::time_point now) -> base::result<placed_request>
 {
     const membership::node_entry *best = nullptr;
     double bestValue = 0.0;
@@ -64,7 +64,7 @@
     auto &state = m_places[{best->id, request.service}];
     ++state.underWay;
     ++state.sinceReport;
-    return best;
+    return placed_request{best, healthOf(state, now)};
 }
 
 auto placement::valueOf(const membership::upstream_place &place, const placement_request &request,
@@ -87,11 +87,7 @@
 auto placement::chanceInTime(const place_state &state, std::uint32_t slots, base::duration left,
                              base::time_point now) const -> double
 {
-    const auto age = now - state.reportedAt;
-    const double trust =
-            state.reportedAt == base::time_point{} || age >= REPORT_LIFE
-                    ? 0.0
-                    : 1.0 - base::toSeconds(age) / base::toSeconds(REPORT_LIFE);
+    const double trust = trustIn(state, now);
     const auto usable = std::max(1U, trust > 0.0 ? state.load.usableSlots : slots);
     const double reported = trust * (state.load.busySlots + state.load.waiting)
                             + (1.0 - trust) * USUAL_LOAD * usable;
@@ -103,11 +99,26 @@
     const double expected = base::toSeconds(service) * (1.0 + waiting);
     const double inTime =
             1.0 / (1.0 + std::pow(expected / std::max(0.001, base::toSeconds(left)), 3.0));
-    const double health = trust * state.load.health + (1.0 - trust) * PRIOR_HEALTH;
+    const double health = healthOf(state, now);
     const double free = std::max(0.0, 1.0 - busy / usable);
     return health * (inTime + FREE_SLOT_VALUE * free);
 }
 
+auto placement::trustIn(const place_state &state, base::time_point now) const -> double
+{
+    const auto age = now - state.reportedAt;
+    if (state.reportedAt == base::time_point{} || age >= REPORT_LIFE) {
+        return 0.0;
+    }
+    return 1.0 - base::toSeconds(age) / base::toSeconds(REPORT_LIFE);
+}
+
+auto placement::healthOf(const place_state &state, base::time_point now) const -> double
+{
+    const double trust = trustIn(state, now);
+    return trust * state.load.health + (1.0 - trust) * PRIOR_HEALTH;
+}
+
 auto placement::priceOf(const membership::node_entry &node, const placement_request &request) const
         -> double
 {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -34,6 +34,15 @@
     base::time_point deadline;
 };
 
+//! Where a request goes.
+struct placed_request
+{
+    //! Belongs to the view.
+    const membership::node_entry *node = nullptr;
+    //! Chance of an answer that the choice assumed.
+    double health = 0.0;
+};
+
 //! Decision object of an entry node: where a request goes. It answers load that differs from
 //! upstream to upstream while about a third of them do not answer for seconds at a time, and paths
 //! that are cut for some of the nodes only.
@@ -58,7 +67,7 @@
     //! Chooses an upstream and counts the request as under way there.
     //! Errors: `NoUpstream`; `PeerUnreachable` if the only paths left have failed.
     auto choose(const membership::view &view, const placement_request &request,
-                base::time_point now) -> base::result<const membership::node_entry *>;
+                base::time_point now) -> base::result<placed_request>;
 
     //! Reports the end of an attempt. `load` is what the executing node reported with it.
     auto onEnd(const base::node_id &node, const base::service_id &service,
@@ -95,6 +104,8 @@
             -> double;
     [[nodiscard]] auto chanceInTime(const place_state &state, std::uint32_t slots,
                                     base::duration left, base::time_point now) const -> double;
+    [[nodiscard]] auto healthOf(const place_state &state, base::time_point now) const -> double;
+    [[nodiscard]] auto trustIn(const place_state &state, base::time_point now) const -> double;
     [[nodiscard]] auto priceOf(const membership::node_entry &node,
                                const placement_request &request) const -> double;
     [[nodiscard]] auto isPathPaused(const base::node_id &node, base::time_point now) const -> bool;
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -42,6 +42,8 @@
     std::string body;
     //! True if `body` is the whole body.
     bool bodyComplete = true;
+    //! Health of the upstream below which the entry node would rather choose another one.
+    double minHealth = 0.0;
 
     auto operator<=>(const attempt_request &) const = default;
 };
--- a/src/upstream/hooks.h
+++ b/src/upstream/hooks.h
@@ -6,6 +6,8 @@
 #include <compare>
 #include <functional>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace hawthornpick::upstream {
 
@@ -31,6 +33,9 @@
     Refused,
 };
 
+//! Name of an ending in logs. Thread safety: pure.
+auto endingName(attempt_ending ending) -> std::string_view;
+
 //! One attempt as an observation for failure detection.
 struct attempt_observation
 {
@@ -43,6 +48,7 @@
     base::digest256 fingerprint;
     bool idempotent = false;
     base::time_point started;
+    std::string requestId;
 
     auto operator<=>(const attempt_observation &) const = default;
 };
@@ -70,6 +76,8 @@
     std::function<void(const attempt_observation &observation)> onStart;
     std::function<void(const attempt_observation &observation, const attempt_finish &finish)>
             onFinish;
+    //! Chance that the service's upstreams of this host answer the next request.
+    std::function<double(const base::service_id &service)> health;
 };
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -29,6 +29,7 @@
   16: optional i64 content_length
   17: binary body
   18: bool body_complete
+  19: i32 min_health_percent
 }
 
 // Head of an answer stream. `refusal` is set if the request was not run or failed before an answer;
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -44,7 +44,8 @@
 {
     return {request.attempt,      target.entry.id,      target.entry.incarnation,
             target.entry.service, request.organisation, request.route,
-            request.fingerprint,  request.idempotent,   base::clock::now()};
+            request.fingerprint,  request.idempotent,   base::clock::now(),
+            request.requestId};
 }
 
 // A connection that the upstream closed while it was idle looks like one lost during the request.
@@ -61,6 +62,31 @@
 
 } // namespace
 
+auto endingName(attempt_ending ending) -> std::string_view
+{
+    switch (ending) {
+    case attempt_ending::Answered:
+        return "answered";
+    case attempt_ending::ServerError:
+        return "server_error";
+    case attempt_ending::ConnectFailed:
+        return "connect_failed";
+    case attempt_ending::ConnectionLost:
+        return "connection_lost";
+    case attempt_ending::Truncated:
+        return "truncated";
+    case attempt_ending::TimedOut:
+        return "timed_out";
+    case attempt_ending::DeadlinePassed:
+        return "deadline_passed";
+    case attempt_ending::Cancelled:
+        return "cancelled";
+    case attempt_ending::Refused:
+        return "refused";
+    }
+    return "unknown";
+}
+
 executor_state::executor_state(asio::io_context &context, executor_dependencies dependencies)
     : m_context(context), m_dependencies(std::move(dependencies)),
       m_configuration(m_dependencies.configuration), m_upstreams(m_dependencies.upstreams),
@@ -89,7 +115,11 @@
     if (!queue) {
         return std::nullopt;
     }
-    return queue->load();
+    auto load = queue->load();
+    if (m_dependencies.hooks.health) {
+        load.health = m_dependencies.hooks.health(service);
+    }
+    return load;
 }
 
 auto executor_state::checkKey(const attempt_request &request) -> base::result<void>
@@ -134,6 +164,9 @@
     if (request.deadline <= base::clock::now()) {
         return base::fail(error_kind::DeadlineBeforeStart);
     }
+    if (hooks.health && hooks.health(request.service) < request.minHealth) {
+        return base::fail(error_kind::UpstreamSuspected);
+    }
     return {};
 }
 
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -63,6 +63,7 @@
     }
     out.body = request.body;
     out.body_complete = request.bodyComplete;
+    out.min_health_percent = static_cast<std::int32_t>(request.minHealth * PERCENT);
     return base::encodeThrift(out);
 }
 
@@ -97,6 +98,7 @@
     }
     out.body = std::move(in->body);
     out.bodyComplete = in->body_complete;
+    out.minHealth = static_cast<double>(in->min_health_percent) / PERCENT;
     return out;
 }
 
