Order waiting requests by urgency and refuse what can't be in time

Cause: the fair queue compares the mean time of all requests with the deadline, so calls of 61 ms were refused behind reads of 970 ms after one placement, and requests that made them failed with 500. Change: urgency_queue orders by the latest start that is in time, refuses a wait that is longer than the sender accepts, and the entry node asks up to three nodes before a request waits for good.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -37,6 +37,10 @@
 //! Longest answer that is kept until it is complete; longer ones are passed on as they arrive.
 constexpr std::size_t COLLECTED_ANSWER_BYTES = 1024UL * 1024;
 constexpr unsigned FIRST_SERVER_ERROR = 500;
+//! Number of the placement from which on a request waits as long as its deadline allows.
+constexpr unsigned PATIENT_PLACEMENT = 3;
+//! Part of the target latency that the first placement may wait for a slot.
+constexpr int WAIT_DIVISOR = 12;
 constexpr unsigned MAX_PLACEMENTS = 6;
 //! How much worse an upstream may be than the entry node believed before its node refuses. A
 //! request that can be repeated may explore; one that can't goes to the surest upstream.
@@ -187,6 +191,9 @@
             m_health.onFinish(observation, finish);
             logAttempt(observation, finish);
         };
+        hooks.expectedTime = [this](const upstream::attempt_request &request) {
+            return m_health.expectedTime(request.route);
+        };
         hooks.health = [this](const base::service_id &service) {
             return m_health.healthOf(service, base::clock::now());
         };
@@ -204,7 +211,8 @@
                 },
                 m_adapter.wire,
                 false,
-                m_settings.heartbeat * MISSED_HEARTBEATS};
+                m_settings.heartbeat * MISSED_HEARTBEATS,
+                policy::queue_order::Urgency};
     }
 
     auto callerDependencies() -> caller::server_dependencies
@@ -256,14 +264,28 @@
         const policy::placement_request wanted{request.service.id, request.route,
                                                request.idempotent, request.bodyBytes,
                                                request.excluded,   request.target,
-                                               request.deadline};
+                                               request.deadline,   expectedTime(request)};
         const auto node = m_placement.choose(request.view, wanted, base::clock::now());
         if (!node) {
             return tl::unexpected(node.error());
         }
         const double margin = request.idempotent ? HEALTH_MARGIN_REPEATABLE : HEALTH_MARGIN_ONCE;
         return caller::chosen_node{node->node->id, 0, node->node->peerAddress,
-                                   std::max(0.0, node->health - margin)};
+                                   std::max(0.0, node->health - margin), maxWait(request)};
+    }
+
+    auto expectedTime(const caller::selection_request &request) const -> base::duration
+    {
+        return m_latencies.mean(request.route, request.target - request.arrival);
+    }
+
+    // The first nodes are asked for a slot that is free soon; later ones may let the request wait.
+    static auto maxWait(const caller::selection_request &request) -> base::duration
+    {
+        if (request.placements >= PATIENT_PLACEMENT) {
+            return base::duration::max();
+        }
+        return (request.target - request.arrival) * (request.placements + 1) / WAIT_DIVISOR;
     }
 
     auto onAttemptEnd(const caller::attempt_report &report) -> void
--- a/src/app/internal/upstreamhealth.cpp
+++ b/src/app/internal/upstreamhealth.cpp
@@ -8,6 +8,8 @@
 
 //! Upstreams that had no request for longer are forgotten.
 constexpr std::size_t MAX_UPSTREAMS = 64;
+//! Target of requests whose route only a newer configuration has.
+constexpr base::milliseconds UNKNOWN_TARGET{1000};
 
 auto evidenceOf(upstream::attempt_ending ending) -> policy::health_evidence
 {
@@ -50,13 +52,24 @@
 
 auto upstream_health::onStart(const upstream::attempt_observation &observation) -> void
 {
-    const auto snapshot = m_configuration.load();
-    const auto *route = config::findRoute(snapshot->set(), observation.route);
-    const auto target = route == nullptr ? base::milliseconds(0)
-                        : route->targetLatency.count() > 0 ? route->targetLatency
-                                                           : route->deadline;
     stateOf(observation)
-            .belief.onStart(observation.attempt, observation.route, target, observation.started);
+            .belief.onStart(observation.attempt, observation.route, targetOf(observation.route),
+                            observation.started);
+}
+
+auto upstream_health::targetOf(const base::route_id &route) const -> base::duration
+{
+    const auto snapshot = m_configuration.load();
+    const auto *found = config::findRoute(snapshot->set(), route);
+    if (found == nullptr) {
+        return UNKNOWN_TARGET;
+    }
+    return found->targetLatency.count() > 0 ? found->targetLatency : found->deadline;
+}
+
+auto upstream_health::expectedTime(const base::route_id &route) const -> base::duration
+{
+    return m_latencies.mean(route, targetOf(route));
 }
 
 auto upstream_health::onFinish(const upstream::attempt_observation &observation,
--- a/src/app/internal/upstreamhealth.h
+++ b/src/app/internal/upstreamhealth.h
@@ -23,6 +23,9 @@
     auto onFinish(const upstream::attempt_observation &observation,
                   const upstream::attempt_finish &finish) -> void;
 
+    //! Time that a request of the route probably takes.
+    [[nodiscard]] auto expectedTime(const base::route_id &route) const -> base::duration;
+
     //! Chance that the next request to the service's upstreams of this host is answered; 1 without
     //! evidence, so that a new upstream gets work.
     [[nodiscard]] auto healthOf(const base::service_id &service, base::time_point now) const
@@ -36,6 +39,7 @@
         policy::health_belief belief;
     };
 
+    [[nodiscard]] auto targetOf(const base::route_id &route) const -> base::duration;
     auto stateOf(const upstream::attempt_observation &observation) -> upstream_state &;
 
     const config::snapshot_cell &m_configuration;
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -28,6 +28,8 @@
     base::route_id route;
     //! Identifies the request for crash suspects.
     base::digest256 fingerprint;
+    //! Nodes asked so far.
+    unsigned placements = 0;
     base::time_point arrival;
     base::time_point deadline;
     //! Time of an answer that has its full value.
@@ -42,6 +44,8 @@
     membership::endpoint address;
     //! Health of its upstream below which the node is to refuse.
     double minHealth = 0.0;
+    //! Longest wait for a slot there.
+    base::duration maxWait = base::duration::max();
 
     auto operator<=>(const chosen_node &) const = default;
 };
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -20,6 +20,8 @@
 // Longest body that is kept for a retry; also the part that enters the fingerprint.
 constexpr std::size_t MAX_BUFFERED_BODY_BYTES = 64UL * 1024;
 constexpr std::size_t MAX_REQUEST_ID_BYTES = 128;
+// Ranks of routes within one rank of an organisation.
+constexpr std::uint32_t ROUTE_PRIORITIES = 4;
 constexpr std::size_t MAX_IDEMPOTENCY_KEY_BYTES = 256;
 
 auto refuse(error_kind kind, std::string detail = {}) -> std::optional<refusal>
@@ -372,6 +374,16 @@
     }
     m_request.body = std::move(body);
     m_request.fingerprint = fingerprintOf(m_request);
+    m_request.answerBy = selection().target;
+    m_request.priority = priority();
+}
+
+// The rank of an organisation goes before that of a route.
+auto entry_request::priority() const -> std::uint32_t
+{
+    const auto *organisation = m_snapshot->organisationById(m_request.organisation);
+    const auto own = organisation == nullptr ? 0 : organisation->priority;
+    return own * ROUTE_PRIORITIES + std::min(m_route->priority, ROUTE_PRIORITIES - 1);
 }
 
 auto entry_request::forward() -> asio::awaitable<refusal_or_done>
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -83,6 +83,7 @@
     auto readRest() -> task<base::result<std::string>>;
     auto forward() -> task<refusal_or_done>;
     auto writeRefusal(const refusal &why) -> task<bool>;
+    auto priority() const -> std::uint32_t;
     auto reportEnd(const refusal_or_done &refused) const -> void;
 
     // Attempts (entryattempts.cpp).
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -36,6 +36,7 @@
     case error_kind::UpstreamRefused:
     case error_kind::UpstreamSuspected:
     case error_kind::UpstreamTruncated:
+    case error_kind::Overloaded:
         return true;
     default:
         return false;
@@ -81,6 +82,7 @@
             m_request.organisation,
             m_request.route,
             m_request.fingerprint,
+            m_placements,
             m_arrival,
             m_request.deadline,
             m_arrival + targetLatency};
@@ -173,6 +175,7 @@
     m_request.nodeIncarnation = chosen.incarnation;
     const bool isLastPlacement = m_placements >= m_owner.dependencies().hooks.rules.maxPlacements;
     m_request.minHealth = isLastPlacement ? 0.0 : chosen.minHealth;
+    m_request.maxWait = isLastPlacement ? base::duration::max() : chosen.maxWait;
     if (m_record) {
         auto claim = co_await m_record->prepareAttempt(m_request, chosen);
         if (claim && std::holds_alternative<idempotency_replay>(*claim)) {
--- a/src/policy/ejectionclient.h
+++ b/src/policy/ejectionclient.h
@@ -4,7 +4,7 @@
 #include "base/message.h"
 #include "base/time.h"
 #include "policy/arbiter.h"
-#include "policy/fairqueue.h"
+#include "policy/slots.h"
 
 #include <compare>
 #include <cstdint>
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -1,10 +1,7 @@
 #pragma once
 
-#include "base/errorkind.h"
-#include "base/ids.h"
-#include "base/time.h"
+#include "policy/slots.h"
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -16,63 +13,6 @@
 
 namespace hawthornpick::policy {
 
-//! A request that asks for a slot of one of the node's upstreams.
-struct slot_request
-{
-    base::attempt_id attempt;
-    base::organisation_id organisation;
-    //! Share of the queue service relative to other organisations; 0 counts as 1.
-    std::uint32_t weight = 1;
-    base::time_point deadline;
-    //! Only idempotent requests are sent to an upstream that is on probation.
-    bool idempotent = false;
-
-    auto operator<=>(const slot_request &) const = default;
-};
-
-//! A slot that a request occupies until `fair_queue::release`.
-struct slot_grant
-{
-    base::attempt_id attempt;
-    base::upstream_id upstream;
-    base::time_point since;
-
-    auto operator<=>(const slot_grant &) const = default;
-};
-
-//! What the queue may do with an upstream. `ejection_client::admissionOf` supplies `usableSlots`
-//! and `probation`.
-struct upstream_admission
-{
-    std::uint32_t slots = 1;
-    //! Slots that may be occupied at present: 0 while ejected, fewer than `slots` in slow start.
-    std::uint32_t usableSlots = 1;
-    //! Only idempotent requests may run, at most one each `PROBE_INTERVAL`, and none waits for it.
-    bool probation = false;
-    bool draining = false;
-
-    auto operator<=>(const upstream_admission &) const = default;
-};
-
-//! Shortest time between the starts of two requests on an upstream on probation. With five requests
-//! a second a returning upstream proves itself in about two seconds and a bad one costs few
-//! retries.
-inline constexpr base::milliseconds PROBE_INTERVAL{200};
-
-//! Load of one service on one node, carried on answers for `selector::recordLoad`.
-struct service_load
-{
-    std::uint32_t usableSlots = 0;
-    std::uint32_t busySlots = 0;
-    std::uint32_t waiting = 0;
-    //! Mean time of successful requests in a slot.
-    base::duration meanService{};
-    //! Chance that the next request is answered, as far as its node can tell.
-    double health = 1.0;
-
-    auto operator<=>(const service_load &) const = default;
-};
-
 //! Slots and waiting requests of one service on one node.
 //!
 //! Waiting requests are served by weighted deficit round robin between organisations. A full queue
@@ -88,7 +28,7 @@
     //! Called exactly once for each request that had to wait and was not cancelled: with a grant,
     //! or with `QueueFull`, `DeadlineBeforeStart`, `UpstreamDraining`, `UpstreamEjected` or
     //! `NoUpstream`; all of them mean that the request was not run.
-    using resume_function = std::function<void(base::result<slot_grant>)>;
+    using resume_function = slot_resume_function;
 
     //! `queuePerSlot` requests may wait for each announced slot.
     explicit fair_queue(std::uint32_t queuePerSlot);
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -77,14 +77,15 @@
     if (place.node->region != m_settings.region) {
         left -= REGION_ROUND_TRIP;
     }
-    auto value = chanceInTime(state, place.upstream->slots, left, now);
+    auto value = chanceInTime(state, place.upstream->slots, request, left, now);
     if (state.refusedUntil > now) {
         value -= 0.5;
     }
     return value - priceOf(*place.node, request);
 }
 
-auto placement::chanceInTime(const place_state &state, std::uint32_t slots, base::duration left,
+auto placement::chanceInTime(const place_state &state, std::uint32_t slots,
+                             const placement_request &request, base::duration left,
                              base::time_point now) const -> double
 {
     const double trust = trustIn(state, now);
@@ -96,7 +97,8 @@
     const auto service = state.load.meanService.count() > 0 ? state.load.meanService
                                                             : base::duration(USUAL_SERVICE_TIME);
     const double waiting = std::max(0.0, busy + 1.0 - usable) / usable;
-    const double expected = base::toSeconds(service) * (1.0 + waiting);
+    const double expected =
+            base::toSeconds(request.expected) + waiting * base::toSeconds(service);
     const double inTime =
             1.0 / (1.0 + std::pow(expected / std::max(0.001, base::toSeconds(left)), 3.0));
     const double health = healthOf(state, now);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -4,7 +4,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "membership/view.h"
-#include "policy/fairqueue.h"
+#include "policy/slots.h"
 
 #include <map>
 #include <unordered_map>
@@ -32,6 +32,8 @@
     std::vector<base::node_id> excluded;
     base::time_point target;
     base::time_point deadline;
+    //! Time that an upstream probably takes.
+    base::duration expected{};
 };
 
 //! Where a request goes.
@@ -103,7 +105,8 @@
                                const placement_request &request, base::time_point now) const
             -> double;
     [[nodiscard]] auto chanceInTime(const place_state &state, std::uint32_t slots,
-                                    base::duration left, base::time_point now) const -> double;
+                                    const placement_request &request, base::duration left,
+                                    base::time_point now) const -> double;
     [[nodiscard]] auto healthOf(const place_state &state, base::time_point now) const -> double;
     [[nodiscard]] auto trustIn(const place_state &state, base::time_point now) const -> double;
     [[nodiscard]] auto priceOf(const membership::node_entry &node,
--- a/src/policy/selector.h
+++ b/src/policy/selector.h
@@ -5,7 +5,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "membership/view.h"
-#include "policy/fairqueue.h"
+#include "policy/slots.h"
 
 #include <compare>
 #include <cstdint>
--- /dev/null
+++ b/src/policy/slotqueue.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "policy/fairqueue.h"
+#include "policy/urgencyqueue.h"
+
+#include <optional>
+#include <variant>
+
+namespace hawthornpick::policy {
+
+//! Order in which requests that wait for a slot get one.
+enum class queue_order : std::uint8_t {
+    //! Weighted round robin between organisations.
+    FairShare,
+    //! By the latest start that still gives an answer in time.
+    Urgency,
+};
+
+//! Slots and waiting requests of one service on one node, in one of the orders.
+//! Thread safety of all members: as the chosen queue.
+class slot_queue
+{
+    // The empty alternative only exists before the constructor chose one.
+    template <typename Visitor>
+    auto visit(Visitor visitor)
+    {
+        if (auto *queue = std::get_if<urgency_queue>(&m_queue)) {
+            return visitor(*queue);
+        }
+        return visitor(std::get<fair_queue>(m_queue));
+    }
+
+public:
+    slot_queue(queue_order order, std::uint32_t queuePerSlot)
+    {
+        if (order == queue_order::Urgency) {
+            m_queue.emplace<urgency_queue>(queuePerSlot);
+        } else {
+            m_queue.emplace<fair_queue>(queuePerSlot);
+        }
+    }
+
+    auto enter(const slot_request &request, base::time_point now, slot_resume_function resume)
+            -> base::result<std::optional<slot_grant>>
+    {
+        return visit([&](auto &queue) { return queue.enter(request, now, std::move(resume)); });
+    }
+    auto release(const slot_grant &grant, bool succeeded, base::time_point now) -> void
+    {
+        visit([&](auto &queue) { queue.release(grant, succeeded, now); });
+    }
+    auto cancel(const base::attempt_id &attempt) -> bool
+    {
+        return visit([&](auto &queue) { return queue.cancel(attempt); });
+    }
+    auto setUpstream(const base::upstream_id &upstream, const upstream_admission &admission,
+                     base::time_point now) -> void
+    {
+        visit([&](auto &queue) { queue.setUpstream(upstream, admission, now); });
+    }
+    auto removeUpstream(const base::upstream_id &upstream, base::time_point now) -> void
+    {
+        visit([&](auto &queue) { queue.removeUpstream(upstream, now); });
+    }
+    auto setQueuePerSlot(std::uint32_t queuePerSlot) -> void
+    {
+        visit([&](auto &queue) { queue.setQueuePerSlot(queuePerSlot); });
+    }
+    auto drain() -> void
+    {
+        visit([](auto &queue) { queue.drain(); });
+    }
+    auto expire(base::time_point now) -> void
+    {
+        visit([&](auto &queue) { queue.expire(now); });
+    }
+    [[nodiscard]] auto load() const -> service_load
+    {
+        return std::visit(
+                [](const auto &queue) -> service_load {
+                    if constexpr (requires { queue.load(); }) {
+                        return queue.load();
+                    }
+                    return {};
+                },
+                m_queue);
+    }
+
+private:
+    std::variant<std::monostate, fair_queue, urgency_queue> m_queue;
+};
+
+} // namespace hawthornpick::policy
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -4,7 +4,7 @@
 #include "base/errorkind.h"
 #include "base/ids.h"
 #include "base/time.h"
-#include "policy/fairqueue.h"
+#include "policy/slots.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <compare>
@@ -44,6 +44,12 @@
     bool bodyComplete = true;
     //! Health of the upstream below which the entry node would rather choose another one.
     double minHealth = 0.0;
+    //! Time of an answer that has its full value.
+    base::time_point answerBy = base::time_point::max();
+    //! Rank of the request, 0 being the most urgent.
+    std::uint32_t priority = 0;
+    //! Longest wait for a slot; a longer one is refused, so that another node can be asked.
+    base::duration maxWait = base::duration::max();
 
     auto operator<=>(const attempt_request &) const = default;
 };
--- a/src/upstream/hooks.h
+++ b/src/upstream/hooks.h
@@ -76,6 +76,8 @@
     std::function<void(const attempt_observation &observation)> onStart;
     std::function<void(const attempt_observation &observation, const attempt_finish &finish)>
             onFinish;
+    //! Time that the upstreams of this host probably take for a request.
+    std::function<base::duration(const attempt_request &request)> expectedTime;
     //! Chance that the service's upstreams of this host answer the next request.
     std::function<double(const base::service_id &service)> health;
 };
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -30,6 +30,9 @@
   17: binary body
   18: bool body_complete
   19: i32 min_health_percent
+  20: i64 target_ms
+  21: i32 priority
+  22: i64 max_wait_ms
 }
 
 // Head of an answer stream. `refusal` is set if the request was not run or failed before an answer;
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -215,8 +215,13 @@
     }
     const auto *organisation = m_configuration.current()->organisationById(request.organisation);
     const auto weight = organisation == nullptr ? 1 : organisation->weight;
-    const policy::slot_request wanted{request.attempt, request.organisation, weight,
-                                      request.deadline, request.idempotent};
+    const auto &expectedTime = m_dependencies.hooks.expectedTime;
+    const policy::slot_request wanted{
+            request.attempt,  request.organisation,
+            weight,           request.deadline,
+            request.idempotent, request.answerBy,
+            expectedTime ? expectedTime(request) : base::duration{},
+            request.priority, request.maxWait};
     const auto wait = std::make_shared<slot_wait>(m_context.get_executor());
     const auto entered = queue->enter(wanted, base::clock::now(), slot_wait::resumeFunction(wait));
     if (!entered) {
--- a/src/upstream/internal/registry.cpp
+++ b/src/upstream/internal/registry.cpp
@@ -55,9 +55,11 @@
 }
 
 upstream_registry::upstream_registry(base::node_id node, queue_function queuePerSlot,
-                                     change_function onChange, base::milliseconds announcementLife)
+                                     change_function onChange, base::milliseconds announcementLife,
+                                     policy::queue_order order)
     : m_node(std::move(node)), m_queuePerSlot(std::move(queuePerSlot)),
-      m_onChange(std::move(onChange)), m_announcementLife(announcementLife), m_table(std::make_shared<const upstream_table>())
+      m_onChange(std::move(onChange)), m_announcementLife(announcementLife), m_order(order),
+      m_table(std::make_shared<const upstream_table>())
 {}
 
 auto upstream_registry::announce(const announcement &what, base::time_point now) -> announce_result
@@ -241,7 +243,7 @@
         auto &queue = m_queues[slot.record->entry.service];
         const auto perSlot = m_queuePerSlot(slot.record->entry.service);
         if (!queue) {
-            queue = std::make_shared<policy::fair_queue>(perSlot);
+            queue = std::make_shared<policy::slot_queue>(m_order, perSlot);
         }
         queue->setQueuePerSlot(perSlot);
     }
--- a/src/upstream/internal/slotguard.h
+++ b/src/upstream/internal/slotguard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "policy/fairqueue.h"
+#include "policy/slotqueue.h"
 #include "upstream/registry.h"
 
 #include <optional>
--- a/src/upstream/internal/slotwait.cpp
+++ b/src/upstream/internal/slotwait.cpp
@@ -6,7 +6,7 @@
 
 namespace asio = boost::asio;
 
-auto slot_wait::finish(std::shared_ptr<slot_wait> self, policy::fair_queue &queue,
+auto slot_wait::finish(std::shared_ptr<slot_wait> self, policy::slot_queue &queue,
                        const policy::slot_request &request, cancellation &cancel)
         -> asio::awaitable<decision>
 {
--- a/src/upstream/internal/slotwait.h
+++ b/src/upstream/internal/slotwait.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "policy/fairqueue.h"
+#include "policy/slotqueue.h"
 #include "upstream/exchange.h"
 #include "upstream/wakesignal.h"
 
@@ -20,9 +20,9 @@
         : m_executor(executor), m_signal(std::move(executor))
     {}
 
-    //! Returns the function to pass to `fair_queue::enter`.
+    //! Returns the function to pass to `slot_queue::enter`.
     static auto resumeFunction(const std::shared_ptr<slot_wait> &self)
-            -> policy::fair_queue::resume_function
+            -> policy::slot_resume_function
     {
         return [self](decision value) {
             boost::asio::post(self->m_executor, [self, value = std::move(value)]() mutable {
@@ -33,7 +33,7 @@
 
     //! Waits for the decision, the deadline or `cancel`.
     //! Precondition: `enter` returned no value; the arguments outlive the returned coroutine.
-    static auto finish(std::shared_ptr<slot_wait> self, policy::fair_queue &queue,
+    static auto finish(std::shared_ptr<slot_wait> self, policy::slot_queue &queue,
                        const policy::slot_request &request, cancellation &cancel)
             -> boost::asio::awaitable<decision>;
 
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -10,6 +10,16 @@
 namespace {
 
 constexpr double PERCENT = 100.0;
+//! Stands for a time without limit.
+constexpr std::int64_t UNLIMITED = -1;
+
+auto toRemaining(base::time_point limit, base::time_point now) -> std::int64_t
+{
+    if (limit == base::time_point::max()) {
+        return UNLIMITED;
+    }
+    return std::max<std::int64_t>(base::toMilliseconds(limit - now), 0);
+}
 
 auto toWire(const policy::service_load &load) -> wire::load_report
 {
@@ -63,6 +73,11 @@
     }
     out.body = request.body;
     out.body_complete = request.bodyComplete;
+    out.target_ms = toRemaining(request.answerBy, now);
+    out.priority = static_cast<std::int32_t>(request.priority);
+    out.max_wait_ms = request.maxWait == base::duration::max()
+                              ? UNLIMITED
+                              : base::toMilliseconds(request.maxWait);
     out.min_health_percent = static_cast<std::int32_t>(request.minHealth * PERCENT);
     return base::encodeThrift(out);
 }
@@ -99,6 +114,11 @@
     out.body = std::move(in->body);
     out.bodyComplete = in->body_complete;
     out.minHealth = static_cast<double>(in->min_health_percent) / PERCENT;
+    out.answerBy = in->target_ms == UNLIMITED ? base::time_point::max()
+                                            : now + base::milliseconds(in->target_ms);
+    out.priority = static_cast<std::uint32_t>(in->priority);
+    out.maxWait = in->max_wait_ms == UNLIMITED ? base::duration::max()
+                                               : base::milliseconds(in->max_wait_ms);
     return out;
 }
 
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -4,7 +4,7 @@
 #include "base/snapshotcell.h"
 #include "base/time.h"
 #include "membership/view.h"
-#include "policy/fairqueue.h"
+#include "policy/slotqueue.h"
 
 #include <functional>
 #include <map>
@@ -42,7 +42,7 @@
     std::string name;
 };
 
-using queue_pointer = std::shared_ptr<policy::fair_queue>;
+using queue_pointer = std::shared_ptr<policy::slot_queue>;
 using queue_map = std::unordered_map<base::service_id, queue_pointer>;
 
 //! Immutable table of the upstreams of this host, read by the I/O threads.
@@ -96,7 +96,8 @@
     using queue_function = std::function<std::uint32_t(const base::service_id &service)>;
 
     upstream_registry(base::node_id node, queue_function queuePerSlot, change_function onChange,
-                      base::milliseconds announcementLife = ANNOUNCEMENT_LIFE);
+                      base::milliseconds announcementLife = ANNOUNCEMENT_LIFE,
+                      policy::queue_order order = policy::queue_order::FairShare);
 
     //! Records an announcement. Within one incarnation `Draining` and a withdrawal are final, while
     //! an upstream whose announcement expired may come back. Of two upstreams at one address the
@@ -146,6 +147,7 @@
     queue_function m_queuePerSlot;
     change_function m_onChange;
     base::milliseconds m_announcementLife;
+    policy::queue_order m_order;
     mutable std::mutex m_mutex;
     std::map<std::string, known> m_known;
     queue_map m_queues;
--- a/src/upstream/upstreamservice.h
+++ b/src/upstream/upstreamservice.h
@@ -25,6 +25,7 @@
     wire_profile wire = {};
     bool checksKeys = true;
     base::milliseconds announcementLife = upstream_registry::ANNOUNCEMENT_LIFE;
+    policy::queue_order order = policy::queue_order::FairShare;
 };
 
 //! Wires the upstream module: registry, announce endpoint and one executor for each I/O thread.
