Let a request wait where it expects to, and repeat more within the budget

Cause: full nodes refused any wait over a part of the target, so requests ended at upstreams that hang; the local budget of repeats was used up by calls. Change: the entry node passes the wait it assumed with a margin; a refusal for load or health is followed by a new comparison; 0.8 of the fleet's share of repeats.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -1,6 +1,7 @@
 #include "app/meshnode.h"
 
 #include "app/internal/decisionlog.h"
+#include "app/internal/loadbroadcast.h"
 #include "app/internal/meshcontrol.h"
 #include "app/internal/peeracceptor.h"
 #include "app/internal/upstreamhealth.h"
@@ -11,6 +12,7 @@
 #include "policy/repeatbudget.h"
 #include "status/statusserver.h"
 #include "upstream/upstreamservice.h"
+#include "upstream/wirecodec.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <algorithm>
@@ -37,10 +39,8 @@
 //! Longest answer that is kept until it is complete; longer ones are passed on as they arrive.
 constexpr std::size_t COLLECTED_ANSWER_BYTES = 1024UL * 1024;
 constexpr unsigned FIRST_SERVER_ERROR = 500;
-//! Number of the placement from which on a request waits as long as its deadline allows.
-constexpr unsigned PATIENT_PLACEMENT = 3;
-//! Part of the target latency that the first placement may wait for a slot.
-constexpr int WAIT_DIVISOR = 12;
+//! Part of the target latency by which a wait may be longer than the entry node assumed.
+constexpr int WAIT_MARGIN_DIVISOR = 8;
 constexpr unsigned MAX_PLACEMENTS = 6;
 //! How much worse an upstream may be than the entry node believed before its node refuses. A
 //! request that can be repeated may explore; one that can't goes to the surest upstream.
@@ -53,8 +53,8 @@
 constexpr double MAX_REPEAT_PART = 0.7;
 //! Part of the fleet's limit of repeats that nodes use: calls made by a repeated request count as
 //! repeats of the called service.
-constexpr double REPEAT_SHARE_PART = 0.6;
-constexpr double REPEAT_SLACK_PART = 0.5;
+constexpr double REPEAT_SHARE_PART = 0.8;
+constexpr double REPEAT_SLACK_PART = 0.6;
 //! Bounds of the time after which a refused caller should come back. Spread out, so that callers
 //! that were refused together do not return together.
 constexpr base::milliseconds MIN_RETRY_AFTER{150};
@@ -100,8 +100,14 @@
           m_acceptor(std::make_shared<peer_acceptor>(
                   std::vector{&context}, std::vector{&m_links},
                   membership::endpoint{settings.address, settings.peerPort})),
-          m_careTimer(context)
+          m_broadcast(m_identity.node, settings.region), m_careTimer(context)
     {
+        m_control.runtime().onMessage(
+                base::channel::Health,
+                [this](const base::node_id &from, std::string_view payload, base::time_point now) {
+                    takeNotice(from, payload, now);
+                    return peer::control_runtime::messages{};
+                });
         if (!settings.callerAddress.address.empty()) {
             m_callers.emplace(std::vector{&context}, settings.callerAddress, callerDependencies());
         }
@@ -210,7 +216,7 @@
                     m_control.setUpstreams(entries);
                 },
                 m_adapter.wire,
-                false,
+                {false, false},
                 m_settings.heartbeat * MISSED_HEARTBEATS,
                 policy::queue_order::Urgency};
     }
@@ -264,14 +270,22 @@
         const policy::placement_request wanted{request.service.id, request.route,
                                                request.idempotent, request.bodyBytes,
                                                request.excluded,   request.target,
-                                               request.deadline,   expectedTime(request)};
+                                               request.deadline,   expectedTime(request),
+                                               request.isParallel};
         const auto node = m_placement.choose(request.view, wanted, base::clock::now());
         if (!node) {
             return tl::unexpected(node.error());
         }
+        m_log.write(log_event::AttemptPlaced, base::clock::now(),
+                    {{"request", request.requestId},
+                     {"service", request.service.id.str()},
+                     {"node", node->node->id.str()},
+                     {"health", node->health},
+                     {"placement", request.placements}});
         const double margin = request.idempotent ? HEALTH_MARGIN_REPEATABLE : HEALTH_MARGIN_ONCE;
         return caller::chosen_node{node->node->id, 0, node->node->peerAddress,
-                                   std::max(0.0, node->health - margin), maxWait(request)};
+                                   std::max(0.0, node->health - margin),
+                                   maxWait(request, node->wait)};
     }
 
     auto expectedTime(const caller::selection_request &request) const -> base::duration
@@ -279,13 +293,12 @@
         return m_latencies.mean(request.route, request.target - request.arrival);
     }
 
-    // The first nodes are asked for a slot that is free soon; later ones may let the request wait.
-    static auto maxWait(const caller::selection_request &request) -> base::duration
+    // A node where the request would wait longer than assumed refuses, so that the choice is made
+    // again with what it reported.
+    static auto maxWait(const caller::selection_request &request, base::duration assumed)
+            -> base::duration
     {
-        if (request.placements >= PATIENT_PLACEMENT) {
-            return base::duration::max();
-        }
-        return (request.target - request.arrival) * (request.placements + 1) / WAIT_DIVISOR;
+        return assumed + (request.target - request.arrival) / WAIT_MARGIN_DIVISOR;
     }
 
     auto onAttemptEnd(const caller::attempt_report &report) -> void
@@ -383,9 +396,29 @@
                 {"accepting", !m_isDraining}};
     }
 
+    auto takeNotice(const base::node_id &from, std::string_view payload, base::time_point now)
+            -> void
+    {
+        if (const auto notice = upstream::decodeNotice(payload)) {
+            m_placement.onLoad(from, notice->service, notice->load, now);
+        }
+    }
+
+    auto sendLoads(base::time_point now) -> void
+    {
+        std::map<base::service_id, policy::service_load> loads;
+        for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
+            auto load = queue->load();
+            load.health = m_health.healthOf(service, now);
+            loads[service] = load;
+        }
+        m_control.runtime().send(m_broadcast.tick(loads, *m_fleet.load(), now));
+    }
+
     auto care() -> void
     {
         const auto now = base::clock::now();
+        sendLoads(now);
         m_upstreams.registry().expire(now);
         for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
             queue->expire(now);
@@ -436,6 +469,7 @@
     std::optional<caller::caller_server> m_callers;
     std::optional<status::status_server> m_status;
     std::optional<adapter_servers> m_servers;
+    load_broadcast m_broadcast;
     asio::steady_timer m_careTimer;
 };
 
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -28,8 +28,11 @@
     base::route_id route;
     //! Identifies the request for crash suspects.
     base::digest256 fingerprint;
+    //! True for an attempt beside one that is under way.
+    bool isParallel = false;
     //! Nodes asked so far.
     unsigned placements = 0;
+    std::string requestId;
     base::time_point arrival;
     base::time_point deadline;
     //! Time of an answer that has its full value.
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -50,6 +50,13 @@
            || kind == error_kind::UpstreamTimeout || kind == error_kind::UpstreamTruncated;
 }
 
+// Refusals for a state of the node that the entry node did not know.
+auto isStateRefusal(error_kind kind) -> bool
+{
+    return kind == error_kind::UpstreamSuspected || kind == error_kind::QueueFull
+           || kind == error_kind::Overloaded;
+}
+
 auto isNotRun(error_kind kind) -> bool
 {
     return base::answerFor(kind).result == base::outcome::NotRun;
@@ -82,7 +89,9 @@
             m_request.organisation,
             m_request.route,
             m_request.fingerprint,
+            m_attempts.running() > 0,
             m_placements,
+            m_request.requestId,
             m_arrival,
             m_request.deadline,
             m_arrival + targetLatency};
@@ -345,8 +354,9 @@
         || base::clock::now() >= m_request.deadline) {
         co_return false;
     }
-    // A node that suspects its upstream has told so, and is compared with the others again.
-    if (kind != error_kind::UpstreamSuspected) {
+    // A node that refuses for its load or health has told them, and is compared with the others
+    // again.
+    if (!isStateRefusal(kind) || !rules.refusalsAreFree) {
         (isUpstreamFailure(kind) ? m_failed : m_excluded).push_back(item.chosen.id);
     }
     const bool isFree = rules.refusalsAreFree && isRefusal && kind != error_kind::UpstreamRefused;
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -19,6 +19,8 @@
 //! Round trip between regions.
 constexpr base::milliseconds REGION_ROUND_TRIP{41};
 constexpr double ANSWER_BYTES_SMOOTHING = 0.1;
+//! Value of an upstream that must not be chosen.
+constexpr double NO_VALUE = -1e9;
 //! Pause after a refusal by a full upstream: about the time of one request in its slots.
 constexpr base::milliseconds REFUSAL_PAUSE{60};
 
@@ -38,6 +40,7 @@
 {
     const membership::node_entry *best = nullptr;
     double bestValue = 0.0;
+    std::uint32_t bestSlots = 1;
     bool hasPaused = false;
     for (const auto &place : view.upstreamsOf(request.service)) {
         const auto &excluded = request.excluded;
@@ -51,8 +54,9 @@
             continue;
         }
         const auto value = valueOf(place, request, now) + VALUE_NOISE * m_random.unit();
-        if (best == nullptr || value > bestValue) {
+        if (value > NO_VALUE / 2 && (best == nullptr || value > bestValue)) {
             best = place.node;
+            bestSlots = place.upstream->slots;
             bestValue = value;
         }
     }
@@ -62,9 +66,11 @@
                           hasPaused ? "all paths to upstreams of the service failed" : "");
     }
     auto &state = m_places[{best->id, request.service}];
+    const auto usable = usableAt(state, bestSlots, now);
+    const auto wait = waitAt(state, usable, busyAt(state, usable, now));
     ++state.underWay;
     ++state.sinceReport;
-    return placed_request{best, healthOf(state, now)};
+    return placed_request{best, healthOf(state, now), wait};
 }
 
 auto placement::valueOf(const membership::upstream_place &place, const placement_request &request,
@@ -88,24 +94,45 @@
                              const placement_request &request, base::duration left,
                              base::time_point now) const -> double
 {
-    const double trust = trustIn(state, now);
-    const auto usable = std::max(1U, trust > 0.0 ? state.load.usableSlots : slots);
-    const double reported = trust * (state.load.busySlots + state.load.waiting)
-                            + (1.0 - trust) * USUAL_LOAD * usable;
-    const double busy =
-            std::max<double>(reported + state.sinceReport, static_cast<double>(state.underWay));
-    const auto service = state.load.meanService.count() > 0 ? state.load.meanService
-                                                            : base::duration(USUAL_SERVICE_TIME);
-    const double waiting = std::max(0.0, busy + 1.0 - usable) / usable;
-    const double expected =
-            base::toSeconds(request.expected) + waiting * base::toSeconds(service);
+    const auto usable = usableAt(state, slots, now);
+    const double busy = busyAt(state, usable, now);
+    if (request.needsFreeSlot && busy >= usable) {
+        return NO_VALUE;
+    }
+    const double expected = base::toSeconds(request.expected + waitAt(state, usable, busy));
     const double inTime =
             1.0 / (1.0 + std::pow(expected / std::max(0.001, base::toSeconds(left)), 3.0));
-    const double health = healthOf(state, now);
+    // A request that can't be repeated goes to the surest upstream; others find out about the rest.
+    const double belief = healthOf(state, now);
+    const double health = belief;
     const double free = std::max(0.0, 1.0 - busy / usable);
     return health * (inTime + FREE_SLOT_VALUE * free);
 }
 
+auto placement::waitAt(const place_state &state, std::uint32_t usable, double busy) const
+        -> base::duration
+{
+    const auto service = state.load.meanService.count() > 0 ? state.load.meanService
+                                                            : base::duration(USUAL_SERVICE_TIME);
+    const double turns = std::max(0.0, busy + 1.0 - usable) / usable;
+    return std::chrono::duration_cast<base::duration>(service * turns);
+}
+
+auto placement::usableAt(const place_state &state, std::uint32_t slots, base::time_point now) const
+        -> std::uint32_t
+{
+    return std::max(1U, trustIn(state, now) > 0.0 ? state.load.usableSlots : slots);
+}
+
+auto placement::busyAt(const place_state &state, std::uint32_t usable, base::time_point now) const
+        -> double
+{
+    const double trust = trustIn(state, now);
+    const double reported = trust * (state.load.busySlots + state.load.waiting)
+                            + (1.0 - trust) * USUAL_LOAD * usable;
+    return std::max<double>(reported + state.sinceReport, state.underWay);
+}
+
 auto placement::trustIn(const place_state &state, base::time_point now) const -> double
 {
     const auto age = now - state.reportedAt;
@@ -160,7 +187,7 @@
     if (load || !failure) {
         m_paths.erase(node);
     }
-    if (failure && base::answerFor(*failure).result == base::outcome::NotRun) {
+    if (failure && !load && base::answerFor(*failure).result == base::outcome::NotRun) {
         state.refusedUntil = now + REFUSAL_PAUSE;
     }
 }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -34,6 +34,8 @@
     base::time_point deadline;
     //! Time that an upstream probably takes.
     base::duration expected{};
+    //! Only upstreams with a free slot are worth it.
+    bool needsFreeSlot = false;
 };
 
 //! Where a request goes.
@@ -41,8 +43,9 @@
 {
     //! Belongs to the view.
     const membership::node_entry *node = nullptr;
-    //! Chance of an answer that the choice assumed.
+    //! Chance of an answer and wait for a slot that the choice assumed.
     double health = 0.0;
+    base::duration wait{};
 };
 
 //! Decision object of an entry node: where a request goes. It answers load that differs from
@@ -104,9 +107,15 @@
     [[nodiscard]] auto valueOf(const membership::upstream_place &place,
                                const placement_request &request, base::time_point now) const
             -> double;
+    [[nodiscard]] auto waitAt(const place_state &state, std::uint32_t usable, double busy) const
+            -> base::duration;
     [[nodiscard]] auto chanceInTime(const place_state &state, std::uint32_t slots,
                                     const placement_request &request, base::duration left,
                                     base::time_point now) const -> double;
+    [[nodiscard]] auto busyAt(const place_state &state, std::uint32_t usable,
+                              base::time_point now) const -> double;
+    [[nodiscard]] auto usableAt(const place_state &state, std::uint32_t slots,
+                                base::time_point now) const -> std::uint32_t;
     [[nodiscard]] auto healthOf(const place_state &state, base::time_point now) const -> double;
     [[nodiscard]] auto trustIn(const place_state &state, base::time_point now) const -> double;
     [[nodiscard]] auto priceOf(const membership::node_entry &node,
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -12,6 +12,19 @@
 
 namespace hawthornpick::upstream {
 
+//! What differs between deployments on the executing side.
+struct executor_rules
+{
+    //! False if the entry node's check of key and route is enough, because nodes may serve with
+    //! different versions for some seconds.
+    bool checksKeys = true;
+    //! Sends an idempotent request again that was lost on a kept connection. False if the entry node
+    //! accounts for all repeats.
+    bool repeatsLostRequests = true;
+
+    auto operator<=>(const executor_rules &) const = default;
+};
+
 //! What the executing side of a node needs. Referenced objects outlive the executor.
 struct executor_dependencies
 {
@@ -20,9 +33,7 @@
     const table_cell &upstreams;
     executor_hooks hooks;
     wire_profile wire = {};
-    //! False if the entry node's check of key and route is enough, because nodes may serve with
-    //! different versions for some seconds.
-    bool checksKeys = true;
+    executor_rules rules = {};
 };
 
 class executor_state;
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -50,14 +50,14 @@
 
 // A connection that the upstream closed while it was idle looks like one lost during the request.
 // The request may go out again if the upstream can't have seen it, or if running twice is harmless.
-auto mayRepeatOnFresh(const exchange_result &result, const attempt_request &request, bool reused)
-        -> bool
+auto mayRepeatOnFresh(const exchange_result &result, const attempt_request &request, bool reused,
+                      const executor_rules &rules) -> bool
 {
     if (!reused || !result.failure || result.failure->kind != error_kind::UpstreamFailed
         || !result.lostBeforeAnswer || result.sourceUsed) {
         return false;
     }
-    return result.nothingSent || request.idempotent;
+    return result.nothingSent || (request.idempotent && rules.repeatsLostRequests);
 }
 
 } // namespace
@@ -156,7 +156,7 @@
     if (hooks.isCurrent && !hooks.isCurrent()) {
         return base::fail(error_kind::ConfigNotCurrent);
     }
-    if (m_dependencies.checksKeys) {
+    if (m_dependencies.rules.checksKeys) {
         if (auto key = checkKey(request); !key) {
             return key;
         }
@@ -287,7 +287,8 @@
         upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
                                    service.timeout, source, sink, cancel);
         result = co_await exchange.run();
-        again = !fresh && mayRepeatOnFresh(result, request, (*connection)->reused);
+        again = !fresh && mayRepeatOnFresh(result, request, (*connection)->reused,
+                                            m_dependencies.rules);
         fresh = true;
         if (result.reusable) {
             m_pool.giveBack(std::move(*connection));
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -32,7 +32,7 @@
                 *context,
                 executor_dependencies{dependencies.nodeIncarnation, dependencies.configuration,
                                       m_registry.table(), dependencies.hooks, dependencies.wire,
-                                      dependencies.checksKeys}));
+                                      dependencies.rules}));
     }
 }
 
--- a/src/upstream/upstreamservice.h
+++ b/src/upstream/upstreamservice.h
@@ -23,7 +23,7 @@
     //! Called on any thread after each change of the upstreams of this host.
     upstream_registry::change_function onUpstreamsChanged;
     wire_profile wire = {};
-    bool checksKeys = true;
+    executor_rules rules = {};
     base::milliseconds announcementLife = upstream_registry::ANNOUNCEMENT_LIFE;
     policy::queue_order order = policy::queue_order::FairShare;
 };
