Keep the last free slot of an upstream for requests in haste

Cause: reads of 970 ms held all slots of an upstream while calls of 61 ms with a target of 200 ms waited or failed, and with them the requests that made them.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -1,7 +1,6 @@
 #include "app/meshnode.h"
 
 #include "app/internal/decisionlog.h"
-#include "app/internal/loadbroadcast.h"
 #include "app/internal/meshcontrol.h"
 #include "app/internal/peeracceptor.h"
 #include "app/internal/upstreamhealth.h"
@@ -12,7 +11,6 @@
 #include "policy/repeatbudget.h"
 #include "status/statusserver.h"
 #include "upstream/upstreamservice.h"
-#include "upstream/wirecodec.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <algorithm>
@@ -53,8 +51,8 @@
 constexpr double MAX_REPEAT_PART = 0.7;
 //! Part of the fleet's limit of repeats that nodes use: calls made by a repeated request count as
 //! repeats of the called service.
-constexpr double REPEAT_SHARE_PART = 0.8;
-constexpr double REPEAT_SLACK_PART = 0.6;
+constexpr double REPEAT_SHARE_PART = 0.7;
+constexpr double REPEAT_SLACK_PART = 0.5;
 //! Bounds of the time after which a refused caller should come back. Spread out, so that callers
 //! that were refused together do not return together.
 constexpr base::milliseconds MIN_RETRY_AFTER{150};
@@ -100,14 +98,8 @@
           m_acceptor(std::make_shared<peer_acceptor>(
                   std::vector{&context}, std::vector{&m_links},
                   membership::endpoint{settings.address, settings.peerPort})),
-          m_broadcast(m_identity.node, settings.region), m_careTimer(context)
+          m_careTimer(context)
     {
-        m_control.runtime().onMessage(
-                base::channel::Health,
-                [this](const base::node_id &from, std::string_view payload, base::time_point now) {
-                    takeNotice(from, payload, now);
-                    return peer::control_runtime::messages{};
-                });
         if (!settings.callerAddress.address.empty()) {
             m_callers.emplace(std::vector{&context}, settings.callerAddress, callerDependencies());
         }
@@ -396,29 +388,9 @@
                 {"accepting", !m_isDraining}};
     }
 
-    auto takeNotice(const base::node_id &from, std::string_view payload, base::time_point now)
-            -> void
-    {
-        if (const auto notice = upstream::decodeNotice(payload)) {
-            m_placement.onLoad(from, notice->service, notice->load, now);
-        }
-    }
-
-    auto sendLoads(base::time_point now) -> void
-    {
-        std::map<base::service_id, policy::service_load> loads;
-        for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
-            auto load = queue->load();
-            load.health = m_health.healthOf(service, now);
-            loads[service] = load;
-        }
-        m_control.runtime().send(m_broadcast.tick(loads, *m_fleet.load(), now));
-    }
-
     auto care() -> void
     {
         const auto now = base::clock::now();
-        sendLoads(now);
         m_upstreams.registry().expire(now);
         for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
             queue->expire(now);
@@ -469,7 +441,6 @@
     std::optional<caller::caller_server> m_callers;
     std::optional<status::status_server> m_status;
     std::optional<adapter_servers> m_servers;
-    load_broadcast m_broadcast;
     asio::steady_timer m_careTimer;
 };
 
--- a/src/base/message.h
+++ b/src/base/message.h
@@ -23,7 +23,6 @@
     Baseline = 11,
     Quorum = 12,
     Directory = 13,
-    Health = 14,
 };
 
 //! A message that a decision object asks the control runtime to send.
--- a/src/policy/internal/urgencyqueue.cpp
+++ b/src/policy/internal/urgencyqueue.cpp
@@ -29,8 +29,9 @@
     if (const auto refusal = refusalOf(request, now)) {
         return base::fail(*refusal);
     }
-    const auto upstream = freeUpstream();
-    if (m_waiting.empty() && upstream != m_upstreams.end()) {
+    // Those that wait may be leaving the last slot to a request like this one.
+    const auto upstream = freeUpstream(request, now);
+    if (upstream != m_upstreams.end() && isMostUrgent(request, now)) {
         return occupy(upstream, request, now);
     }
     const auto wait = expectedWait(request, now);
@@ -69,13 +70,16 @@
     return refusal;
 }
 
-auto urgency_queue::freeUpstream() -> upstream_map::iterator
+auto urgency_queue::freeUpstream(const slot_request &request, base::time_point now)
+        -> upstream_map::iterator
 {
+    const bool hasTime = now + request.expected + LAST_SLOT_SLACK < request.target;
     auto best = m_upstreams.end();
     double bestShare = 1.0;
     for (auto item = m_upstreams.begin(); item != m_upstreams.end(); ++item) {
         const auto &[admission, busy, isRemoved] = item->second;
-        if (isRemoved || admission.draining || busy >= admission.usableSlots) {
+        const auto kept = hasTime && admission.usableSlots > 1 ? 1U : 0U;
+        if (isRemoved || admission.draining || busy + kept >= admission.usableSlots) {
             continue;
         }
         const double share = static_cast<double>(busy) / admission.usableSlots;
@@ -94,6 +98,14 @@
     return {request.attempt, upstream->first, now};
 }
 
+auto urgency_queue::isMostUrgent(const slot_request &request, base::time_point now) const -> bool
+{
+    const auto own = urgencyOf(request, now);
+    return std::all_of(m_waiting.begin(), m_waiting.end(), [&](const waiting_request &item) {
+        return own <= urgencyOf(item.request, now);
+    });
+}
+
 auto urgency_queue::usableSlots() const -> std::uint32_t
 {
     std::uint32_t slots = 0;
@@ -155,15 +167,15 @@
 {
     refuseWaiting(now);
     while (!m_waiting.empty()) {
-        const auto upstream = freeUpstream();
-        if (upstream == m_upstreams.end()) {
-            return;
-        }
         const auto next = std::min_element(
                 m_waiting.begin(), m_waiting.end(),
                 [&](const waiting_request &left, const waiting_request &right) {
                     return urgencyOf(left.request, now) < urgencyOf(right.request, now);
                 });
+        const auto upstream = freeUpstream(next->request, now);
+        if (upstream == m_upstreams.end()) {
+            return;
+        }
         m_resumptions.push_back({std::move(next->resume), occupy(upstream, next->request, now)});
         m_waiting.erase(next);
     }
@@ -228,7 +240,8 @@
 
 auto urgency_queue::expire(base::time_point now) -> void
 {
-    refuseWaiting(now);
+    // Requests that left the last slot free may have no time left for that.
+    startWaiting(now);
     resumeAll();
 }
 
--- a/src/policy/urgencyqueue.h
+++ b/src/policy/urgencyqueue.h
@@ -21,6 +21,9 @@
 class urgency_queue
 {
 public:
+    //! A request with more time than this leaves the last free slot of an upstream to those in more
+    //! haste. Long reads would otherwise hold all slots for a second while calls of 60 ms wait.
+    static constexpr base::milliseconds LAST_SLOT_SLACK{500};
     //! Later start by which each rank of a request moves it back in the order.
     static constexpr base::milliseconds PRIORITY_STEP{60};
 
@@ -69,13 +72,16 @@
 
     [[nodiscard]] auto refusalOf(const slot_request &request, base::time_point now) const
             -> std::optional<base::error_kind>;
-    auto freeUpstream() -> upstream_map::iterator;
+    auto freeUpstream(const slot_request &request, base::time_point now)
+            -> upstream_map::iterator;
     auto occupy(upstream_map::iterator upstream, const slot_request &request, base::time_point now)
             -> slot_grant;
     [[nodiscard]] auto urgencyOf(const slot_request &request, base::time_point now) const
             -> urgency;
     [[nodiscard]] auto expectedWait(const slot_request &request, base::time_point now) const
             -> base::duration;
+    [[nodiscard]] auto isMostUrgent(const slot_request &request, base::time_point now) const
+            -> bool;
     [[nodiscard]] auto usableSlots() const -> std::uint32_t;
     [[nodiscard]] static auto canMeetDeadline(const slot_request &request, base::time_point now)
             -> bool;
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -54,9 +54,3 @@
   2: string detail
   3: load_report load
 }
-
-// Load of the upstreams of one service on the sender, sent to nodes that place requests there.
-struct load_notice {
-  1: string service_name
-  2: load_report load
-}
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -190,21 +190,4 @@
     return out;
 }
 
-auto encodeNotice(const load_notice &notice) -> std::string
-{
-    wire::load_notice out;
-    out.service_name = notice.service.str();
-    out.load = toWire(notice.load);
-    return base::encodeThrift(out);
-}
-
-auto decodeNotice(std::string_view bytes) -> std::optional<load_notice>
-{
-    auto in = base::decodeThrift<wire::load_notice>(bytes);
-    if (!in) {
-        return std::nullopt;
-    }
-    return load_notice{base::service_id(std::move(in->service_name)), fromWire(in->load)};
-}
-
 } // namespace hawthornpick::upstream
--- a/src/upstream/wirecodec.h
+++ b/src/upstream/wirecodec.h
@@ -36,17 +36,4 @@
 auto encodeClosing(const answer_closing &closing) -> std::string;
 auto decodeClosing(std::string_view bytes) -> std::optional<answer_closing>;
 
-//! Load of the upstreams of one service on the sending node.
-struct load_notice
-{
-    base::service_id service;
-    policy::service_load load;
-
-    auto operator<=>(const load_notice &) const = default;
-};
-
-//! Encodes a notice and reverses it; nothing if the bytes are damaged. Thread safety: pure.
-auto encodeNotice(const load_notice &notice) -> std::string;
-auto decodeNotice(std::string_view bytes) -> std::optional<load_notice>;
-
 } // namespace hawthornpick::upstream
