Refuse once-only requests that would probably hang; weigh refusals of upstreams

Cause: requests that can't be repeated ended at upstreams known to hang, and during a spell in which all upstreams refuse single requests all of them looked broken. Change: once-only requests need a health of 0.32; refusals are weak evidence; Retry-After is short where the next request may be taken.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -53,10 +53,9 @@
 //! repeats of the called service.
 constexpr double REPEAT_SHARE_PART = 0.7;
 constexpr double REPEAT_SLACK_PART = 0.5;
-//! Bounds of the time after which a refused caller should come back. Spread out, so that callers
-//! that were refused together do not return together.
-constexpr base::milliseconds MIN_RETRY_AFTER{150};
-constexpr base::milliseconds MAX_RETRY_AFTER{600};
+//! Shortest times after which a refused caller should come back; up to three times as long.
+constexpr base::milliseconds MOMENTARY_RETRY_AFTER{30};
+constexpr base::milliseconds USUAL_RETRY_AFTER{150};
 
 auto identityOf(const config::mesh_settings &settings) -> peer::link_identity
 {
@@ -241,11 +240,9 @@
                                    const caller::chosen_node & /*chosen*/) {
             return repeatAfter(request);
         };
-        hooks.retryAfter = [this](const base::error & /*why*/,
+        hooks.retryAfter = [this](const base::error &why,
                                   const caller::selection_request & /*request*/) {
-            const auto spread = (MAX_RETRY_AFTER - MIN_RETRY_AFTER).count();
-            return MIN_RETRY_AFTER
-                   + base::milliseconds(m_random.below(static_cast<std::uint64_t>(spread)));
+            return retryAfter(why.kind);
         };
         hooks.onRequestEnd = [this](const caller::request_report &report) {
             onRequestEnd(report);
@@ -349,6 +346,17 @@
                      {"late", report.isLate}});
     }
 
+    // Upstreams that refuse single requests take the next one at once; other refusals mean that room
+    // is expected after about the time of a request. Spread out, so that callers that were refused
+    // together do not return together.
+    auto retryAfter(base::error_kind why) -> base::milliseconds
+    {
+        const bool isMomentary = why == base::error_kind::UpstreamRefused
+                                 || why == base::error_kind::RetryBudgetExhausted;
+        const auto first = isMomentary ? MOMENTARY_RETRY_AFTER : USUAL_RETRY_AFTER;
+        return first + base::milliseconds(m_random.below(static_cast<std::uint64_t>(first.count() * 2)));
+    }
+
     auto repeatAfter(const caller::selection_request &request) const -> base::duration
     {
         const auto target = request.target - request.arrival;
--- a/src/app/internal/upstreamhealth.cpp
+++ b/src/app/internal/upstreamhealth.cpp
@@ -21,8 +21,9 @@
     case upstream::attempt_ending::ConnectFailed:
     case upstream::attempt_ending::ConnectionLost:
     case upstream::attempt_ending::Truncated:
-    case upstream::attempt_ending::Refused:
         return policy::health_evidence::Failed;
+    case upstream::attempt_ending::Refused:
+        return policy::health_evidence::Refused;
     // What these show is how long the request went without an answer.
     case upstream::attempt_ending::TimedOut:
     case upstream::attempt_ending::DeadlinePassed:
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -183,7 +183,8 @@
     m_request.attempt = m_owner.random().attemptId();
     m_request.nodeIncarnation = chosen.incarnation;
     const bool isLastPlacement = m_placements >= m_owner.dependencies().hooks.rules.maxPlacements;
-    m_request.minHealth = isLastPlacement ? 0.0 : chosen.minHealth;
+    const bool isOpenToAll = isLastPlacement && m_request.idempotent;
+    m_request.minHealth = isOpenToAll ? 0.0 : chosen.minHealth;
     m_request.maxWait = isLastPlacement ? base::duration::max() : chosen.maxWait;
     if (m_record) {
         auto claim = co_await m_record->prepareAttempt(m_request, chosen);
--- a/src/policy/internal/healthbelief.cpp
+++ b/src/policy/internal/healthbelief.cpp
@@ -51,6 +51,9 @@
     if (item.evidence == health_evidence::ServerError) {
         return isGood ? m_parameters.goodErrorShare : m_parameters.badErrorShare;
     }
+    if (item.evidence == health_evidence::Refused) {
+        return isGood ? m_parameters.goodRefusalShare : m_parameters.badRefusalShare;
+    }
     const auto age = (item.evidence ? item.ended : now) - item.started;
     const double unanswered = m_latencies.survival(item.route, age, item.target);
     return failureShare + (1.0 - failureShare) * unanswered;
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -42,6 +42,7 @@
     double bestValue = 0.0;
     std::uint32_t bestSlots = 1;
     bool hasPaused = false;
+    bool hasDoubtful = false;
     for (const auto &place : view.upstreamsOf(request.service)) {
         const auto &excluded = request.excluded;
         const bool isExcluded =
@@ -53,6 +54,10 @@
             hasPaused = true;
             continue;
         }
+        if (!request.idempotent && believedHealth(place, request, now) < MIN_HEALTH_ONCE) {
+            hasDoubtful = true;
+            continue;
+        }
         const auto value = valueOf(place, request, now) + VALUE_NOISE * m_random.unit();
         if (value > NO_VALUE / 2 && (best == nullptr || value > bestValue)) {
             best = place.node;
@@ -60,6 +65,9 @@
             bestValue = value;
         }
     }
+    if (best == nullptr && hasDoubtful) {
+        return base::fail(base::error_kind::Overloaded, "no upstream that probably answers");
+    }
     if (best == nullptr) {
         return base::fail(hasPaused ? base::error_kind::PeerUnreachable
                                     : base::error_kind::NoUpstream,
@@ -73,6 +81,14 @@
     return placed_request{best, healthOf(state, now), wait};
 }
 
+auto placement::believedHealth(const membership::upstream_place &place,
+                               const placement_request &request, base::time_point now) const
+        -> double
+{
+    const auto position = m_places.find({place.node->id, request.service});
+    return position == m_places.end() ? PRIOR_HEALTH : healthOf(position->second, now);
+}
+
 auto placement::valueOf(const membership::upstream_place &place, const placement_request &request,
                         base::time_point now) const -> double
 {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -63,6 +63,9 @@
     //! Chance of an answer of an upstream about which nothing is known: instances of a service fail
     //! about 30% of the time.
     static constexpr double PRIOR_HEALTH = 0.75;
+    //! A request that can't be repeated is refused rather than sent to an upstream below this health:
+    //! its caller can come back after a refusal, but not after an attempt without an answer.
+    static constexpr double MIN_HEALTH_ONCE = 0.32;
     //! First time for which a path that failed is avoided; doubled for each further failure.
     static constexpr base::milliseconds FIRST_PATH_PAUSE{300};
     static constexpr base::milliseconds MAX_PATH_PAUSE{2400};
@@ -70,7 +73,8 @@
     placement(placement_settings settings, std::uint64_t seed);
 
     //! Chooses an upstream and counts the request as under way there.
-    //! Errors: `NoUpstream`; `PeerUnreachable` if the only paths left have failed.
+    //! Errors: `NoUpstream`; `PeerUnreachable` if the only paths left have failed; `Overloaded` if
+    //! the upstreams left probably do not answer.
     auto choose(const membership::view &view, const placement_request &request,
                 base::time_point now) -> base::result<placed_request>;
 
@@ -104,6 +108,9 @@
     };
     using place_key = std::pair<base::node_id, base::service_id>;
 
+    [[nodiscard]] auto believedHealth(const membership::upstream_place &place,
+                                      const placement_request &request,
+                                      base::time_point now) const -> double;
     [[nodiscard]] auto valueOf(const membership::upstream_place &place,
                                const placement_request &request, base::time_point now) const
             -> double;
