Divide rates by the demand that nodes report

Cause: rates were not enforced; a tenant at eight times its load ran 293 requests in 5 s where 192 are allowed. Change: limits::demand_share admits a share by demand, slows down near the limit and lets requests through while the fleet uses little; hubs sum up demand and admissions. Test: a virtual fleet of 5, 25 and 83 nodes, five rates, twelve seeds, cut nodes; it found 4 to 40% above the bound before totals covered new nodes.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -92,7 +92,7 @@
     fleet::reporter_sinks sinks;
     sinks.onView = m_sinks.onView;
     sinks.onTotals = m_sinks.onTotals;
-    sinks.demands = m_sinks.demands;
+    sinks.usages = m_sinks.usages;
     sinks.onDocument = [this](const fleet::config_document &document) {
         onDocument(document);
     };
@@ -113,7 +113,8 @@
     }
     group.dataFolder = settings.dataFolder;
     m_hub.emplace(fleet::hub_options{group.replica.contacts, m_boot}, recordOf(settings),
-                  [this](base::time_point now) { return m_quorum->isFresh(now, FRESH_TIME); });
+                  [this](base::time_point now) { return m_quorum->isFresh(now, FRESH_TIME); },
+                  m_sinks.isOverLimit);
     m_quorum.emplace(
             std::move(group),
             [this](base::config_version version, const std::string &current,
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -20,8 +20,10 @@
 {
     std::function<void(config::snapshot_pointer snapshot)> onConfiguration;
     std::function<void(membership::view_pointer view)> onView;
-    std::function<void(const fleet::demand_map &totals)> onTotals;
-    std::function<fleet::demand_map()> demands;
+    std::function<void(const base::usage_map &totals)> onTotals;
+    std::function<base::usage_map()> usages;
+    //! True if an organisation asks for more than its limit.
+    fleet::hub::over_limit_function isOverLimit;
 };
 
 //! Directory and configuration of one mesh node: reports the node to a hub, and on a node with a
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/random.h"
 #include "caller/callerserver.h"
+#include "limits/demandshare.h"
 #include "policy/placement.h"
 #include "policy/repeatbudget.h"
 #include "status/statusserver.h"
@@ -85,6 +86,7 @@
           m_placement(placementSettings(settings), base::systemSeed()),
           m_health(m_configuration), m_random(base::systemSeed()),
           m_repeats({settings.repeatShare * REPEAT_SHARE_PART, 0.0, settings.repeatWindow}),
+          m_shares({}, base::systemSeed()),
           m_control(context, settings, m_adapter, m_identity, m_metrics, controlSinks()),
           m_upstreams({&context}, {}, upstreamDependencies()),
           m_links(context, m_identity,
@@ -158,14 +160,38 @@
             onView(*view);
             m_fleet.store(std::move(view));
         };
-        sinks.onTotals = [](const fleet::demand_map & /*totals*/) {
+        sinks.onTotals = [this](const base::usage_map &totals) {
+            m_shares.onTotals(totals, base::clock::now());
         };
-        sinks.demands = [] {
-            return fleet::demand_map{};
+        sinks.usages = [this] {
+            return m_shares.report(base::clock::now());
+        };
+        sinks.isOverLimit = [this](const base::organisation_id &organisation,
+                                   const base::rate_usage &usage) {
+            const auto limit = limitOf(organisation);
+            return limit.rate > 0.0 && usage.demand > limit.rate;
         };
         return sinks;
     }
 
+    auto limitOf(const base::organisation_id &id) const -> limits::rate_limit
+    {
+        const auto *organisation = m_configuration.load()->organisationById(id);
+        if (organisation == nullptr) {
+            return {};
+        }
+        return {organisation->rate, static_cast<double>(organisation->burst)};
+    }
+
+    auto admit(base::organisation_id id) -> asio::awaitable<caller::admission>
+    {
+        const auto limit = limitOf(id);
+        if (m_shares.admit(id, limit, m_entries, base::clock::now())) {
+            co_return caller::admission{};
+        }
+        co_return caller::admission{base::error_kind::RateExceeded, m_shares.retryAfter(id, limit)};
+    }
+
     // The slack of the fleet is divided among the nodes that take requests.
     auto onView(const membership::view &view) -> void
     {
@@ -173,6 +199,7 @@
         const auto entries = std::count_if(nodes.begin(), nodes.end(), [](const auto &node) {
             return !node.upstreams.empty();
         });
+        m_entries = static_cast<std::size_t>(entries);
         m_repeats.setSlack(m_settings.repeatSlack * REPEAT_SLACK_PART
                            / std::max<double>(1.0, static_cast<double>(entries)));
     }
@@ -228,6 +255,9 @@
         hooks.onAttemptEnd = [this](const caller::attempt_report &report) {
             onAttemptEnd(report);
         };
+        hooks.admit = [this](base::organisation_id organisation) {
+            return admit(std::move(organisation));
+        };
         hooks.onFirstAttempt = [this](const config::service &service,
                                       const base::organisation_id & /*organisation*/) {
             m_repeats.onRequest(service.id, base::clock::now());
@@ -441,6 +471,8 @@
     policy::latency_model m_latencies;
     base::random_source m_random;
     policy::repeat_budget m_repeats;
+    limits::demand_share m_shares;
+    std::size_t m_entries = 1;
     decision_log m_log;
     mesh_control m_control;
     upstream::upstream_service m_upstreams;
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -105,7 +105,7 @@
     //! Upstreams that one request may run on; 0 stands for the limit of the service.
     std::uint32_t maxAttempts = 0;
     //! Empty if all requests go to `service`.
-    std::vector<weighted_service> split;
+    std::vector<weighted_service> split = {};
 
     auto operator<=>(const route &) const = default;
 };
@@ -128,7 +128,7 @@
     std::vector<key> keys;
     std::vector<service> services;
     std::vector<route> routes;
-    caller_limits limits;
+    caller_limits limits = {};
 
     auto operator<=>(const config_set &) const = default;
 };
--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -36,8 +36,13 @@
     //! Nodes that reported within this time get committed documents at once.
     static constexpr base::milliseconds NOTICE_TIME{2000};
 
+    //! True if an organisation asks for more than its limit.
+    using over_limit_function =
+            std::function<bool(const base::organisation_id &, const base::rate_usage &)>;
+
     //! `isFresh` tells whether the documents given by `publish` are up to date.
-    hub(hub_options options, node_record self, std::function<bool(base::time_point)> isFresh);
+    hub(hub_options options, node_record self, std::function<bool(base::time_point)> isFresh,
+        over_limit_function isOverLimit);
 
     auto receive(const base::node_id &from, const message &content, base::time_point now)
             -> messages;
@@ -55,13 +60,13 @@
     struct reporter_state
     {
         base::time_point heardAt;
-        demand_map demands;
+        base::usage_map usages;
     };
     struct peer_state
     {
         directory_mark known;
         base::time_point heardAt;
-        demand_map demands;
+        base::usage_map usages;
     };
 
     auto onReport(const base::node_id &from, const report &content, base::time_point now)
@@ -71,13 +76,14 @@
     auto onSyncAnswer(const base::node_id &from, const sync_answer &content) -> void;
     auto syncAll(base::time_point now) -> messages;
     auto forgetSilentNodes(base::time_point now) -> void;
-    [[nodiscard]] auto ownDemand(base::time_point now) const -> demand_map;
-    [[nodiscard]] auto totalsFor(const demand_map &wanted, base::time_point now) const
-            -> demand_map;
+    [[nodiscard]] auto ownUsage(base::time_point now) const -> base::usage_map;
+    [[nodiscard]] auto totalsFor(const base::usage_map &wanted, base::time_point now) const
+            -> base::usage_map;
 
     hub_options m_options;
     node_record m_self;
     std::function<bool(base::time_point)> m_isFresh;
+    over_limit_function m_isOverLimit;
     record_table m_records;
     std::map<base::node_id, reporter_state> m_reporters;
     std::map<base::node_id, peer_state> m_peers;
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -21,10 +21,12 @@
   9: list<upstream> upstreams
 }
 
-// Requests per second of an organisation.
-struct demand {
+// Use of an organisation's limit: requests per second asked for, and requests admitted within the
+// window of the limit.
+struct usage {
   1: string organisation
-  2: double rate
+  2: double demand
+  3: double admitted
 }
 
 // Sent by each node to its hub. `boot` and `change` name what the node has of the hub's directory.
@@ -33,7 +35,7 @@
   2: i64 boot
   3: i64 change
   4: i64 version
-  5: list<demand> demands
+  5: list<usage> usages
 }
 
 struct report_answer {
@@ -44,17 +46,17 @@
   5: bool fresh
   6: optional i64 version
   7: optional binary content
-  8: list<demand> totals
+  8: list<usage> totals
   // Generation under which the hub knows the sender, if that is newer than the sender's.
   9: i64 known_generation
 }
 
-// Sent by each hub to the others; `demands` sums up what its own nodes report.
+// Sent by each hub to the others; `usages` sums up what its own nodes report.
 struct sync_request {
   1: node_record sender
   2: i64 boot
   3: i64 change
-  4: list<demand> demands
+  4: list<usage> usages
 }
 
 struct sync_answer {
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -11,18 +11,21 @@
     return {to, base::channel::Directory, encodeMessage(content)};
 }
 
-auto addTo(demand_map &sum, const demand_map &part) -> void
+auto addTo(base::usage_map &sum, const base::usage_map &part) -> void
 {
-    for (const auto &[organisation, rate] : part) {
-        sum[organisation] += rate;
+    for (const auto &[organisation, usage] : part) {
+        auto &total = sum[organisation];
+        total.demand += usage.demand;
+        total.admitted += usage.admitted;
     }
 }
 
 } // namespace
 
-hub::hub(hub_options options, node_record self, std::function<bool(base::time_point)> isFresh)
+hub::hub(hub_options options, node_record self, std::function<bool(base::time_point)> isFresh,
+         over_limit_function isOverLimit)
     : m_options(std::move(options)), m_self(std::move(self)), m_isFresh(std::move(isFresh)),
-      m_records(m_options.boot)
+      m_isOverLimit(std::move(isOverLimit)), m_records(m_options.boot)
 {
     m_self.isHub = true;
     m_records.merge(m_self);
@@ -83,7 +86,7 @@
         answer.knownGeneration = known->generation;
     }
     m_records.merge(content.self);
-    m_reporters[from] = {now, content.demands};
+    m_reporters[from] = {now, content.usages};
     answer.mark = m_records.mark();
     answer.isWhole = content.known.boot != m_options.boot;
     answer.records = m_records.changedSince(content.known);
@@ -91,7 +94,7 @@
     if (m_document.version > content.version) {
         answer.document = m_document;
     }
-    answer.totals = totalsFor(content.demands, now);
+    answer.totals = totalsFor(content.usages, now);
     return {toMessage(from, answer)};
 }
 
@@ -101,7 +104,7 @@
     m_records.merge(content.self);
     auto &peer = m_peers[from];
     peer.heardAt = now;
-    peer.demands = content.demands;
+    peer.usages = content.usages;
     const auto records = m_records.changedSince(content.known);
     if (records.empty()) {
         return {};
@@ -137,10 +140,10 @@
         }
     });
     targets.erase(m_self.entry.id);
-    const auto demands = ownDemand(now);
+    const auto usages = ownUsage(now);
     messages out;
     for (const auto &target : targets) {
-        out.push_back(toMessage(target, sync_request{m_self, m_peers[target].known, demands}));
+        out.push_back(toMessage(target, sync_request{m_self, m_peers[target].known, usages}));
     }
     return out;
 }
@@ -160,26 +163,28 @@
     }
 }
 
-auto hub::ownDemand(base::time_point now) const -> demand_map
+auto hub::ownUsage(base::time_point now) const -> base::usage_map
 {
-    demand_map sum;
+    base::usage_map sum;
     for (const auto &[node, state] : m_reporters) {
         if (now - state.heardAt <= DEMAND_LIFE) {
-            addTo(sum, state.demands);
+            addTo(sum, state.usages);
         }
     }
     return sum;
 }
 
-auto hub::totalsFor(const demand_map &wanted, base::time_point now) const -> demand_map
+auto hub::totalsFor(const base::usage_map &wanted, base::time_point now) const -> base::usage_map
 {
-    auto sum = ownDemand(now);
+    auto sum = ownUsage(now);
     for (const auto &[node, peer] : m_peers) {
         if (now - peer.heardAt <= DEMAND_LIFE) {
-            addTo(sum, peer.demands);
+            addTo(sum, peer.usages);
         }
     }
-    std::erase_if(sum, [&wanted](const auto &item) { return !wanted.contains(item.first); });
+    std::erase_if(sum, [&](const auto &item) {
+        return !wanted.contains(item.first) && !m_isOverLimit(item.first, item.second);
+    });
     return sum;
 }
 
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -86,24 +86,25 @@
     return out;
 }
 
-auto toWire(const demand_map &items) -> std::vector<wire::demand>
+auto toWire(const base::usage_map &items) -> std::vector<wire::usage>
 {
-    std::vector<wire::demand> out;
+    std::vector<wire::usage> out;
     out.reserve(items.size());
-    for (const auto &[organisation, rate] : items) {
-        wire::demand item;
+    for (const auto &[organisation, usage] : items) {
+        wire::usage item;
         item.organisation = organisation.str();
-        item.rate = rate;
+        item.demand = usage.demand;
+        item.admitted = usage.admitted;
         out.push_back(std::move(item));
     }
     return out;
 }
 
-auto fromWire(const std::vector<wire::demand> &items) -> demand_map
+auto fromWire(const std::vector<wire::usage> &items) -> base::usage_map
 {
-    demand_map out;
+    base::usage_map out;
     for (const auto &item : items) {
-        out[base::organisation_id(item.organisation)] = item.rate;
+        out[base::organisation_id(item.organisation)] = {item.demand, item.admitted};
     }
     return out;
 }
@@ -124,7 +125,7 @@
         part.boot = static_cast<std::int64_t>(item.known.boot);
         part.change = static_cast<std::int64_t>(item.known.change);
         part.version = static_cast<std::int64_t>(item.version);
-        part.demands = toWire(item.demands);
+        part.usages = toWire(item.usages);
         out.__set_node_report(part);
     }
     auto operator()(const report_answer &item) const -> void
@@ -149,7 +150,7 @@
         part.sender = toWire(item.self);
         part.boot = static_cast<std::int64_t>(item.known.boot);
         part.change = static_cast<std::int64_t>(item.known.change);
-        part.demands = toWire(item.demands);
+        part.usages = toWire(item.usages);
         out.__set_sync(part);
     }
     auto operator()(const sync_answer &item) const -> void
@@ -203,7 +204,7 @@
     if (in->__isset.node_report) {
         const auto &part = in->node_report;
         return report{fromWire(part.sender), markOf(part.boot, part.change),
-                      static_cast<base::config_version>(part.version), fromWire(part.demands)};
+                      static_cast<base::config_version>(part.version), fromWire(part.usages)};
     }
     if (in->__isset.answer) {
         return answerOf(in->answer);
@@ -211,7 +212,7 @@
     if (in->__isset.sync) {
         const auto &part = in->sync;
         return sync_request{fromWire(part.sender), markOf(part.boot, part.change),
-                            fromWire(part.demands)};
+                            fromWire(part.usages)};
     }
     if (in->__isset.synced) {
         const auto &part = in->synced;
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -117,7 +117,7 @@
     m_reportAt = now + REPORT_INTERVAL;
     m_sentAt = now;
     m_isWaiting = true;
-    const report content{m_self, m_mark, m_version, m_sinks.demands()};
+    const report content{m_self, m_mark, m_version, m_sinks.usages()};
     return {{m_hub, base::channel::Directory, encodeMessage(content)}};
 }
 
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -1,10 +1,9 @@
 #pragma once
 
-#include "base/ids.h"
+#include "base/usage.h"
 #include "membership/view.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -32,9 +31,6 @@
     }
 };
 
-//! Requests per second by organisation.
-using demand_map = std::map<base::organisation_id, double>;
-
 //! How much of a hub's directory its reader has: a process of the hub, and the number of the last
 //! change read from it.
 struct directory_mark
@@ -59,7 +55,7 @@
     node_record self;
     directory_mark known;
     base::config_version version = 0;
-    demand_map demands;
+    base::usage_map usages;
 };
 
 struct report_answer
@@ -73,7 +69,7 @@
     //! Set if the reporting node has an older version.
     std::optional<config_document> document;
     //! Fleet-wide demand of the organisations that the node reported.
-    demand_map totals;
+    base::usage_map totals;
     //! Generation under which the hub knows the node, if it is newer than the reported one.
     std::uint64_t knownGeneration = 0;
 };
@@ -83,7 +79,7 @@
     node_record self;
     directory_mark known;
     //! Sum over the nodes that report to the sender.
-    demand_map demands;
+    base::usage_map usages;
 };
 
 struct sync_answer
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -16,9 +16,9 @@
 {
     std::function<void(membership::view_pointer view)> onView;
     std::function<void(config_document document)> onDocument;
-    std::function<void(const demand_map &totals)> onTotals;
+    std::function<void(const base::usage_map &totals)> onTotals;
     //! Requests per second of each organisation at this node.
-    std::function<demand_map()> demands;
+    std::function<base::usage_map()> usages;
     //! Called when the hub in use changes; empty if none answers.
     std::function<void(const base::node_id &hub)> onHub;
 };
--- /dev/null
+++ b/src/limits/internal/demandshare.cpp
@@ -0,0 +1,183 @@
+#include "limits/demandshare.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hawthornpick::limits {
+
+namespace {
+
+//! Time over which demand is averaged.
+constexpr base::milliseconds DEMAND_TIME{2000};
+//! Part of the rate that is divided by demand; the rest is divided evenly.
+constexpr double DEMAND_PART = 0.75;
+//! Part of the limit that must be unused for requests beyond the share.
+constexpr double FREE_PART = 0.36;
+//! Unused part of the limit below which the shares grow more slowly.
+constexpr double SLOWING_PART = 0.25;
+//! Part of what is unused that may be taken before the next totals.
+constexpr double FREE_STEP = 0.25;
+//! Part of the tolerance that is planned with; the rest makes up for late totals.
+constexpr double TOLERANCE_PART = 0.4;
+//! Demand of organisations that ask for less is not reported any more.
+constexpr double MIN_DEMAND = 0.01;
+constexpr base::milliseconds MIN_RETRY{100};
+constexpr base::milliseconds MAX_RETRY{1000};
+
+auto windowSeconds() -> double
+{
+    return base::toSeconds(demand_share::WINDOW);
+}
+
+} // namespace
+
+auto demand_share::decay(usage_state &state, base::time_point now) -> void
+{
+    const double age = base::toSeconds(now - state.askedAt) / base::toSeconds(DEMAND_TIME);
+    state.asked *= std::exp(-std::max(0.0, age));
+    state.askedAt = now;
+}
+
+auto demand_share::forget(usage_state &state, base::time_point now) -> void
+{
+    while (!state.admitted.empty() && state.admitted.front() + WINDOW <= now) {
+        state.admitted.pop_front();
+    }
+}
+
+auto demand_share::shareOf(const usage_state &state, std::size_t entries) -> double
+{
+    const double even = 1.0 / static_cast<double>(std::max<std::size_t>(entries, 1));
+    if (state.total.demand <= 0.0) {
+        return even;
+    }
+    const double byDemand = std::min(1.0, state.answered / state.total.demand);
+    return DEMAND_PART * byDemand + (1.0 - DEMAND_PART) * even;
+}
+
+auto demand_share::refill(usage_state &state, const rate_limit &limit, double share,
+                          base::time_point now) const -> void
+{
+    // A request takes a whole token, so no bucket may be smaller.
+    const double depth = std::max(1.0, limit.burst * share);
+    if (state.isNew) {
+        state.isNew = false;
+        state.tokens = std::min(1.0, limit.burst * share);
+    } else {
+        // The nearer the fleet is to the limit, the slower the shares grow.
+        const double whole = plannedLimit(limit);
+        const double room =
+                hasNews(state, now) ? unusedOf(state, limit) / (SLOWING_PART * whole) : 1.0;
+        state.tokens += limit.rate * share * std::clamp(room, 0.0, 1.0)
+                        * base::toSeconds(now - state.tokensAt);
+    }
+    state.tokens = std::min(state.tokens, depth);
+    state.tokensAt = now;
+}
+
+auto demand_share::plannedLimit(const rate_limit &limit) const -> double
+{
+    return (limit.rate * windowSeconds() + limit.burst)
+                   * (1.0 + TOLERANCE_PART * m_tolerance.overage)
+           + TOLERANCE_PART * m_tolerance.slack;
+}
+
+auto demand_share::unusedOf(const usage_state &state, const rate_limit &limit) const -> double
+{
+    return plannedLimit(limit) - state.total.admitted;
+}
+
+// An organisation that is new here and not in the last totals asks for less than its limit.
+auto demand_share::hasNews(const usage_state &state, base::time_point now) const -> bool
+{
+    const auto at = state.totalAt == base::time_point{} ? m_newsAt : state.totalAt;
+    return at != base::time_point{} && now - at < TOTALS_LIFE;
+}
+
+auto demand_share::isAllowed(usage_state &state, const rate_limit &limit, double share,
+                             base::time_point now) const -> bool
+{
+    const bool isKnown = hasNews(state, now);
+    const double whole = plannedLimit(limit);
+    const double unused = isKnown ? unusedOf(state, limit) : 0.0;
+    if (isKnown && unused <= 0.0) {
+        return false;
+    }
+    if (state.tokens >= 1.0) {
+        state.tokens -= 1.0;
+        return true;
+    }
+    return isKnown && unused > FREE_PART * whole
+           && state.sinceTotal < 1.0 + FREE_STEP * share * unused;
+}
+
+auto demand_share::stateOf(const base::organisation_id &organisation) -> usage_state &
+{
+    const auto [position, isNew] = m_states.try_emplace(organisation);
+    if (isNew) {
+        const auto total = m_totals.find(organisation);
+        position->second.total = total == m_totals.end() ? base::rate_usage{} : total->second;
+    }
+    return position->second;
+}
+
+auto demand_share::admit(const base::organisation_id &organisation, const rate_limit &limit,
+                         std::size_t entries, base::time_point now) -> bool
+{
+    auto &state = stateOf(organisation);
+    decay(state, now);
+    forget(state, now);
+    state.asked += 1.0;
+    if (limit.rate <= 0.0) {
+        return true;
+    }
+    const double share = shareOf(state, entries);
+    refill(state, limit, share, now);
+    if (!isAllowed(state, limit, share, now)) {
+        return false;
+    }
+    state.admitted.push_back(now);
+    state.sinceTotal += 1.0;
+    return true;
+}
+
+auto demand_share::report(base::time_point now) -> base::usage_map
+{
+    base::usage_map usage;
+    for (auto &[organisation, state] : m_states) {
+        decay(state, now);
+        forget(state, now);
+        const double demand = state.asked / base::toSeconds(DEMAND_TIME);
+        state.reported = demand >= MIN_DEMAND ? demand : 0.0;
+        if (state.reported > 0.0 || !state.admitted.empty()) {
+            usage[organisation] = {state.reported, static_cast<double>(state.admitted.size())};
+        }
+    }
+    return usage;
+}
+
+auto demand_share::onTotals(const base::usage_map &totals, base::time_point now) -> void
+{
+    m_newsAt = now;
+    m_totals = totals;
+    for (auto &[organisation, state] : m_states) {
+        const auto total = totals.find(organisation);
+        state.total = total == totals.end() ? base::rate_usage{} : total->second;
+        state.totalAt = now;
+        state.answered = state.reported;
+        state.sinceTotal = 0.0;
+    }
+}
+
+auto demand_share::retryAfter(const base::organisation_id &organisation, const rate_limit &limit)
+        -> base::milliseconds
+{
+    const auto &state = m_states[organisation];
+    const double overload = limit.rate <= 0.0 ? 1.0 : state.total.demand / limit.rate;
+    const double spread = 0.5 + m_random.unit();
+    const base::milliseconds wanted(
+            static_cast<std::int64_t>(static_cast<double>(MIN_RETRY.count()) * overload * spread));
+    return std::clamp(wanted, MIN_RETRY, MAX_RETRY);
+}
+
+} // namespace hawthornpick::limits
--- /dev/null
+++ b/src/limits/tests/demandsharetest.cpp
@@ -0,0 +1,176 @@
+#include "limits/demandshare.h"
+
+#include <CppUTest/TestHarness.h>
+#include <deque>
+#include <memory>
+#include <vector>
+
+using namespace hawthornpick;
+using limits::demand_share;
+using base::usage_map;
+using std::chrono::milliseconds;
+
+namespace {
+
+const base::organisation_id ORGANISATION("o");
+//! Bound of the platform's rule for a window of 5 s: 10% over the limit and 20 requests.
+constexpr double OVERAGE = 1.1;
+constexpr double SLACK = 20.0;
+
+//! A fleet of entry nodes that report every 500 ms and get totals that are up to a second old.
+class entry_fleet
+{
+public:
+    entry_fleet(std::size_t nodes, limits::rate_limit limit, std::uint64_t seed)
+        : m_limit(limit), m_random(seed), m_usage(nodes)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            m_nodes.push_back(std::make_unique<demand_share>(limits::rate_tolerance{}, seed + i));
+            m_phase.push_back(milliseconds(10 * m_random.below(50)));
+            m_isCut.push_back(false);
+        }
+    }
+
+    auto cut(std::size_t node) -> void { m_isCut.at(node) = true; }
+
+    //! Runs with the given requests per second over all nodes.
+    auto run(milliseconds span, double demand) -> void
+    {
+        const auto end = m_now + span;
+        for (; m_now < end; m_now += milliseconds(10)) {
+            for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+                exchange(i);
+            }
+            const double perStep = demand / 100.0;
+            double expected = perStep;
+            while (expected > 0.0) {
+                if (m_random.unit() < std::min(1.0, expected)) {
+                    ask(m_random.below(m_nodes.size()));
+                }
+                expected -= 1.0;
+            }
+            forget();
+            m_most = std::max(m_most, static_cast<double>(m_admitted.size()));
+        }
+    }
+
+    [[nodiscard]] auto most() const -> double { return m_most; }
+    [[nodiscard]] auto bound() const -> double
+    {
+        return (m_limit.rate * 5.0 + m_limit.burst) * OVERAGE + SLACK;
+    }
+    auto resetCounts() -> void { m_asked = m_refused = 0; }
+    [[nodiscard]] auto refusedShare() const -> double
+    {
+        return m_asked == 0 ? 0.0 : static_cast<double>(m_refused) / m_asked;
+    }
+
+private:
+    auto exchange(std::size_t node) -> void
+    {
+        if ((m_now.time_since_epoch() + m_phase.at(node)) % milliseconds(500) != milliseconds(0)
+            || m_isCut.at(node)) {
+            return;
+        }
+        // The totals of a hub hold what it knew up to half a second before.
+        m_usage.at(node) = m_nodes.at(node)->report(m_now);
+        m_nodes.at(node)->onTotals(m_late, m_now);
+        m_late = m_totals;
+        m_totals = {};
+        for (const auto &usage : m_usage) {
+            for (const auto &[organisation, item] : usage) {
+                m_totals[organisation].demand += item.demand;
+                m_totals[organisation].admitted += item.admitted;
+            }
+        }
+    }
+
+    auto ask(std::size_t node) -> void
+    {
+        ++m_asked;
+        if (m_nodes.at(node)->admit(ORGANISATION, m_limit, m_nodes.size(), m_now)) {
+            m_admitted.push_back(m_now);
+        } else {
+            ++m_refused;
+        }
+    }
+
+    auto forget() -> void
+    {
+        while (!m_admitted.empty() && m_admitted.front() + milliseconds(5000) <= m_now) {
+            m_admitted.pop_front();
+        }
+    }
+
+    limits::rate_limit m_limit;
+    base::random_source m_random;
+    std::vector<std::unique_ptr<demand_share>> m_nodes;
+    std::vector<milliseconds> m_phase;
+    std::vector<bool> m_isCut;
+    std::vector<usage_map> m_usage;
+    usage_map m_totals;
+    usage_map m_late;
+    base::time_point m_now{std::chrono::seconds(1000)};
+    std::deque<base::time_point> m_admitted;
+    double m_most = 0.0;
+    int m_asked = 0;
+    int m_refused = 0;
+};
+
+} // namespace
+
+TEST_GROUP(demand_share)
+{};
+
+// Guards against a fleet that admits more than the limit when an organisation suddenly sends eight
+// times its usual load through all nodes, with some nodes cut off from the totals.
+TEST(demand_share, staysWithinTheBoundWhenDemandJumps)
+{
+    for (const std::size_t nodes : {5, 25, 83}) {
+        for (const double rate : {1.0, 4.0, 12.0, 30.0, 60.0}) {
+            for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+                entry_fleet fleet(nodes, {rate, rate}, seed);
+                fleet.run(milliseconds(8000), rate * 0.625);
+                for (std::size_t i = 0; i < nodes && seed % 3 == 0; i += 5) {
+                    fleet.cut(i);
+                }
+                fleet.run(milliseconds(8000), rate * 5.0);
+                fleet.run(milliseconds(3000), rate * 0.2);
+                fleet.run(milliseconds(4000), rate * 5.0);
+                const auto text = "nodes " + std::to_string(nodes) + " rate "
+                                  + std::to_string(rate) + " seed " + std::to_string(seed)
+                                  + " most " + std::to_string(fleet.most()) + " bound "
+                                  + std::to_string(fleet.bound());
+                CHECK_TEXT(fleet.most() <= fleet.bound(), text.c_str());
+            }
+        }
+    }
+}
+
+// Guards against refusing callers that stay below their limit: at the usual 0.625 of the limit at
+// most one in a hundred is refused.
+TEST(demand_share, refusesFewBelowTheLimit)
+{
+    for (const std::size_t nodes : {25, 83}) {
+        for (const double rate : {4.0, 30.0}) {
+            entry_fleet fleet(nodes, {rate, rate}, 7);
+            fleet.run(milliseconds(5000), rate * 0.625);
+            fleet.resetCounts();
+            fleet.run(milliseconds(60000), rate * 0.625);
+            const auto text = "nodes " + std::to_string(nodes) + " rate " + std::to_string(rate)
+                              + " refused " + std::to_string(fleet.refusedShare());
+            CHECK_TEXT(fleet.refusedShare() <= 0.01, text.c_str());
+        }
+    }
+}
+
+// Guards against wasting the limit: an organisation that asks for far more gets most of its rate.
+TEST(demand_share, servesMostOfTheRateUnderOverload)
+{
+    entry_fleet fleet(25, {30.0, 30.0}, 3);
+    fleet.run(milliseconds(8000), 150.0);
+    fleet.resetCounts();
+    fleet.run(milliseconds(30000), 150.0);
+    const double served = (1.0 - fleet.refusedShare()) * 150.0;
+    CHECK(served >= 0.85 * 30.0);
+}
