Refuse requests that a stopping node can't finish; spend fewer repeats

Change: from 2.4 s after the signal on, only requests whose deadline is before the end are taken; 0.6 of the share and 0.35 of the slack are spent.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -30,6 +30,11 @@
 //! elsewhere; until then the node takes their connections.
 constexpr base::milliseconds CALLER_NOTICE{2600};
 constexpr base::milliseconds DRAIN_POLL_INTERVAL{20};
+//! Time after a request to stop for which all requests are taken; later ones only if their deadline
+//! is before the end.
+constexpr base::milliseconds TAKE_ALL_TIME{2400};
+//! Time before the end of the process that is kept for answers on their way.
+constexpr base::milliseconds STOP_RESERVE{600};
 //! Interval of the work that waits for nothing else: expiry of registrations and of waiting
 //! requests.
 constexpr base::milliseconds CARE_INTERVAL{50};
@@ -52,8 +57,8 @@
 constexpr double MAX_REPEAT_PART = 0.7;
 //! Part of the fleet's limit of repeats that nodes use: calls made by a repeated request count as
 //! repeats of the called service.
-constexpr double REPEAT_SHARE_PART = 0.7;
-constexpr double REPEAT_SLACK_PART = 0.5;
+constexpr double REPEAT_SHARE_PART = 0.6;
+constexpr double REPEAT_SLACK_PART = 0.35;
 //! Shortest times after which a refused caller should come back; up to three times as long.
 constexpr base::milliseconds MOMENTARY_RETRY_AFTER{30};
 constexpr base::milliseconds USUAL_RETRY_AFTER{150};
@@ -130,6 +135,7 @@
         if (std::exchange(m_isDraining, true)) {
             return;
         }
+        m_drainStart = base::clock::now();
         m_control.leave();
         waitThen(LEAVE_NOTICE, [this] {
             m_links.drain();
@@ -255,6 +261,11 @@
         hooks.onAttemptEnd = [this](const caller::attempt_report &report) {
             onAttemptEnd(report);
         };
+        hooks.mayTake = [this](base::time_point deadline) {
+            const auto now = base::clock::now();
+            return !m_drainStart || now < *m_drainStart + TAKE_ALL_TIME
+                   || deadline < *m_drainStart + m_settings.stopTime - STOP_RESERVE;
+        };
         hooks.admit = [this](base::organisation_id organisation) {
             return admit(std::move(organisation));
         };
@@ -464,6 +475,7 @@
     peer::link_identity m_identity;
     base::metrics m_metrics;
     bool m_isDraining = false;
+    std::optional<base::time_point> m_drainStart;
     config::snapshot_cell m_configuration;
     base::snapshot_cell<membership::view> m_fleet;
     policy::placement m_placement;
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -165,6 +165,8 @@
 {
     //! Returns true while this node holds a currency lease.
     std::function<bool()> isCurrent;
+    //! Returns false if a request with this deadline may not be finished before the node stops.
+    std::function<bool(base::time_point deadline)> mayTake;
     //! Takes one token of the organisation.
     std::function<boost::asio::awaitable<admission>(base::organisation_id organisation)> admit;
     //! Errors: `NoUpstream`, `UpstreamEjected`, `QueueFull`, `RegionLinkBusy`.
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -263,6 +263,10 @@
         return refuse(error_kind::NoUpstream);
     }
     m_service = *service;
+    const auto &mayTake = m_owner.dependencies().hooks.mayTake;
+    if (mayTake && !mayTake(deadline())) {
+        return refuse(error_kind::ShuttingDown);
+    }
     return {};
 }
 
--- a/src/limits/internal/demandshare.cpp
+++ b/src/limits/internal/demandshare.cpp
@@ -12,11 +12,11 @@
 //! Part of the rate that is divided by demand; the rest is divided evenly.
 constexpr double DEMAND_PART = 0.75;
 //! Part of the limit that must be unused for requests beyond the share.
-constexpr double FREE_PART = 0.36;
+constexpr double FREE_PART = 0.4;
 //! Unused part of the limit below which the shares grow more slowly.
 constexpr double SLOWING_PART = 0.25;
 //! Part of what is unused that may be taken before the next totals.
-constexpr double FREE_STEP = 0.25;
+constexpr double FREE_STEP = 0.4;
 //! Part of the tolerance that is planned with; the rest makes up for late totals.
 constexpr double TOLERANCE_PART = 0.4;
 //! Demand of organisations that ask for less is not reported any more.
