Judge refusals of an upstream apart from its health

Change: refusals leave the health alone; nodes report the share of requests that their upstream takes, and placement weighs it. Unknown answers count as long.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -224,6 +224,9 @@
         hooks.expectedTime = [this](const upstream::attempt_request &request) {
             return m_health.expectedTime(request.route);
         };
+        hooks.acceptance = [this](const base::service_id &service) {
+            return m_health.acceptanceOf(service);
+        };
         hooks.health = [this](const base::service_id &service) {
             return m_health.healthOf(service, base::clock::now());
         };
--- a/src/app/internal/upstreamhealth.cpp
+++ b/src/app/internal/upstreamhealth.cpp
@@ -8,6 +8,7 @@
 
 //! Upstreams that had no request for longer are forgotten.
 constexpr std::size_t MAX_UPSTREAMS = 64;
+constexpr double ACCEPTANCE_SMOOTHING = 0.15;
 //! Target of requests whose route only a newer configuration has.
 constexpr base::milliseconds UNKNOWN_TARGET{1000};
 
@@ -47,7 +48,7 @@
     }
     m_upstreams.erase(observation.upstream);
     const upstream_state fresh{observation.upstreamIncarnation, observation.service,
-                               policy::health_belief({}, m_latencies)};
+                               policy::health_belief({}, m_latencies), 1.0};
     return m_upstreams.emplace(observation.upstream, fresh).first->second;
 }
 
@@ -81,7 +82,21 @@
     if (evidence == policy::health_evidence::Answered) {
         m_latencies.record(observation.route, finish.latency);
     }
-    stateOf(observation).belief.onEnd(observation.attempt, evidence, now);
+    auto &state = stateOf(observation);
+    state.belief.onEnd(observation.attempt, evidence, now);
+    const double taken = evidence == policy::health_evidence::Refused ? 0.0 : 1.0;
+    state.acceptance += ACCEPTANCE_SMOOTHING * (taken - state.acceptance);
+}
+
+auto upstream_health::acceptanceOf(const base::service_id &service) const -> double
+{
+    double acceptance = 1.0;
+    for (const auto &[id, state] : m_upstreams) {
+        if (state.service == service) {
+            acceptance = std::min(acceptance, state.acceptance);
+        }
+    }
+    return acceptance;
 }
 
 auto upstream_health::healthOf(const base::service_id &service, base::time_point now) const
--- a/src/app/internal/upstreamhealth.h
+++ b/src/app/internal/upstreamhealth.h
@@ -26,6 +26,9 @@
     //! Time that a request of the route probably takes.
     [[nodiscard]] auto expectedTime(const base::route_id &route) const -> base::duration;
 
+    //! Share of the requests that the service's upstreams take although they have a free slot.
+    [[nodiscard]] auto acceptanceOf(const base::service_id &service) const -> double;
+
     //! Chance that the next request to the service's upstreams of this host is answered; 1 without
     //! evidence, so that a new upstream gets work.
     [[nodiscard]] auto healthOf(const base::service_id &service, base::time_point now) const
@@ -37,6 +40,7 @@
         base::incarnation incarnation = 0;
         base::service_id service;
         policy::health_belief belief;
+        double acceptance = 1.0;
     };
 
     [[nodiscard]] auto targetOf(const base::route_id &route) const -> base::duration;
--- a/src/policy/healthbelief.h
+++ b/src/policy/healthbelief.h
@@ -23,9 +23,6 @@
     //! Share of answers with an error in either state.
     double goodErrorShare = 0.08;
     double badErrorShare = 0.4;
-    //! Share of refusals in either state. A refusal costs a round trip only, so it weighs little.
-    double goodRefusalShare = 0.15;
-    double badRefusalShare = 0.4;
 
     auto operator<=>(const health_parameters &) const = default;
 };
@@ -35,7 +32,7 @@
     Answered,
     //! No answer or a broken one.
     Failed,
-    //! The upstream said that it did not run the request.
+    //! The upstream said that it did not run the request, which shows nothing about those it runs.
     Refused,
     //! Answer with an error of the upstream, or of a request that it made itself.
     ServerError,
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -153,7 +153,7 @@
         busy += upstream.admission.usableSlots > 0 ? upstream.busy : 0;
     }
     return {usableSlots(), busy, static_cast<std::uint32_t>(m_waiting),
-            seconds(m_meanServiceSeconds), 1.0};
+            seconds(m_meanServiceSeconds)};
 }
 
 auto fair_queue::idle() const -> bool
--- a/src/policy/internal/healthbelief.cpp
+++ b/src/policy/internal/healthbelief.cpp
@@ -23,10 +23,15 @@
             std::find_if(m_requests.rbegin(), m_requests.rend(), [&](const request_state &item) {
                 return item.attempt == attempt;
             });
-    if (position != m_requests.rend()) {
-        position->evidence = evidence;
-        position->ended = now;
+    if (position == m_requests.rend()) {
+        return;
     }
+    if (evidence == health_evidence::Refused) {
+        m_requests.erase(std::next(position).base());
+        return;
+    }
+    position->evidence = evidence;
+    position->ended = now;
 }
 
 auto health_belief::forget(base::time_point now) -> void
@@ -51,9 +56,6 @@
     if (item.evidence == health_evidence::ServerError) {
         return isGood ? m_parameters.goodErrorShare : m_parameters.badErrorShare;
     }
-    if (item.evidence == health_evidence::Refused) {
-        return isGood ? m_parameters.goodRefusalShare : m_parameters.badRefusalShare;
-    }
     const auto age = (item.evidence ? item.ended : now) - item.started;
     const double unanswered = m_latencies.survival(item.route, age, item.target);
     return failureShare + (1.0 - failureShare) * unanswered;
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -19,6 +19,8 @@
 //! Round trip between regions.
 constexpr base::milliseconds REGION_ROUND_TRIP{41};
 constexpr double ANSWER_BYTES_SMOOTHING = 0.1;
+//! Length of the answers of a route before the first one: long enough to stay near.
+constexpr double UNKNOWN_ANSWER_BYTES = 20'000.0;
 //! Value of an upstream that must not be chosen.
 constexpr double NO_VALUE = -1e9;
 //! Pause after a refusal by a full upstream: about the time of one request in its slots.
@@ -118,11 +120,10 @@
     const double expected = base::toSeconds(request.expected + waitAt(state, usable, busy));
     const double inTime =
             1.0 / (1.0 + std::pow(expected / std::max(0.001, base::toSeconds(left)), 3.0));
-    // A request that can't be repeated goes to the surest upstream; others find out about the rest.
-    const double belief = healthOf(state, now);
-    const double health = belief;
+    const double health = healthOf(state, now);
     const double free = std::max(0.0, 1.0 - busy / usable);
-    return health * (inTime + FREE_SLOT_VALUE * free);
+    const double acceptance = trustIn(state, now) > 0.0 ? state.load.acceptance : 1.0;
+    return health * acceptance * (inTime + FREE_SLOT_VALUE * free);
 }
 
 auto placement::waitAt(const place_state &state, std::uint32_t usable, double busy) const
@@ -171,7 +172,7 @@
         return 0.0;
     }
     const auto known = m_answerBytes.find(request.route);
-    const double answer = known == m_answerBytes.end() ? 0.0 : known->second;
+    const double answer = known == m_answerBytes.end() ? UNKNOWN_ANSWER_BYTES : known->second;
     const double bytes = static_cast<double>(request.requestBytes) + answer;
     return bytes
            * (node.region == m_settings.region ? m_settings.domainBytePrice
--- a/src/policy/internal/urgencyqueue.cpp
+++ b/src/policy/internal/urgencyqueue.cpp
@@ -252,7 +252,7 @@
         busy += upstream.busy;
     }
     return {usableSlots(), busy, static_cast<std::uint32_t>(m_waiting.size()),
-            seconds(m_meanServiceSeconds), 1.0};
+            seconds(m_meanServiceSeconds)};
 }
 
 } // namespace hawthornpick::policy
--- a/src/policy/slots.h
+++ b/src/policy/slots.h
@@ -71,6 +71,8 @@
     base::duration meanService{};
     //! Chance that the next request is answered, as far as its node can tell.
     double health = 1.0;
+    //! Share of the requests that the upstreams take although they have a free slot.
+    double acceptance = 1.0;
 
     auto operator<=>(const service_load &) const = default;
 };
--- a/src/upstream/hooks.h
+++ b/src/upstream/hooks.h
@@ -80,6 +80,8 @@
     std::function<base::duration(const attempt_request &request)> expectedTime;
     //! Chance that the service's upstreams of this host answer the next request.
     std::function<double(const base::service_id &service)> health;
+    //! Share of the requests that these upstreams take although they have a free slot.
+    std::function<double(const base::service_id &service)> acceptance;
 };
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -7,6 +7,7 @@
   3: i32 waiting
   4: i64 mean_service_us
   5: i32 health_percent
+  6: i32 acceptance_percent
 }
 
 // Head of a request stream. `headers` is a block of cleaned header lines, each with CRLF.
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -119,6 +119,9 @@
     if (m_dependencies.hooks.health) {
         load.health = m_dependencies.hooks.health(service);
     }
+    if (m_dependencies.hooks.acceptance) {
+        load.acceptance = m_dependencies.hooks.acceptance(service);
+    }
     return load;
 }
 
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -29,6 +29,7 @@
     out.waiting = static_cast<std::int32_t>(load.waiting);
     out.mean_service_us =
             std::chrono::duration_cast<std::chrono::microseconds>(load.meanService).count();
+    out.acceptance_percent = static_cast<std::int32_t>(std::lround(load.acceptance * PERCENT));
     out.health_percent = static_cast<std::int32_t>(std::lround(load.health * PERCENT));
     return out;
 }
@@ -38,7 +39,8 @@
     return {static_cast<std::uint32_t>(load.usable_slots),
             static_cast<std::uint32_t>(load.busy_slots), static_cast<std::uint32_t>(load.waiting),
             std::chrono::microseconds(load.mean_service_us),
-            static_cast<double>(load.health_percent) / PERCENT};
+            static_cast<double>(load.health_percent) / PERCENT,
+            static_cast<double>(load.acceptance_percent) / PERCENT};
 }
 
 auto errorFromWire(std::int8_t number, std::string detail) -> base::error
