--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -92,10 +92,12 @@
         takeDocument(*answer.document);
     }
     m_sinks.onTotals(answer.totals);
-    if (!answer.isFresh) {
-        giveUpHub(now);
+    if (answer.isFresh) {
+        m_staleAnswers = 0;
+        return {};
     }
-    return {};
+    giveUpHub(now);
+    return askNextHub(now);
 }
 
 // Only newer versions count, so that no answer of a hub that lags takes a version back.
@@ -170,6 +172,18 @@
     m_sinks.onHub(m_hub);
 }
 
+// Half of the hubs may be cut off from the leader. Waiting for the next report at each of them would
+// take longer than a version may take; when all of them are stale, the usual interval holds.
+auto reporter::askNextHub(base::time_point now) -> messages
+{
+    ++m_staleAnswers;
+    if (m_staleAnswers >= MAX_STALE_ANSWERS) {
+        m_staleAnswers = 0;
+        return {};
+    }
+    return sendReport(now);
+}
+
 auto reporter::giveUpHub(base::time_point now) -> void
 {
     m_failedUntil[m_hub] = now + AVOID_TIME;
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -36,6 +36,8 @@
     static constexpr base::milliseconds REPORT_INTERVAL{500};
     //! An answer takes a round trip between regions at most; a hub may be slow to be scheduled.
     static constexpr base::milliseconds ANSWER_TIME{400};
+    //! Stale hubs that are asked one after the other without a pause.
+    static constexpr int MAX_STALE_ANSWERS = 12;
     //! Time for which a hub that failed is avoided.
     static constexpr base::milliseconds AVOID_TIME{3000};
 
@@ -60,6 +62,7 @@
     auto sendReport(base::time_point now) -> messages;
     auto chooseHub(base::time_point now) -> void;
     auto giveUpHub(base::time_point now) -> void;
+    auto askNextHub(base::time_point now) -> messages;
     [[nodiscard]] auto nearestHub(base::time_point now) const -> base::node_id;
     auto selfChanged() -> void;
     auto publishView() -> void;
@@ -77,6 +80,8 @@
     base::time_point m_reportAt;
     base::time_point m_sentAt;
     bool m_isWaiting = false;
+    //! Answers in a row of hubs that may have missed versions.
+    int m_staleAnswers = 0;
     base::config_version m_version = 0;
     std::uint64_t m_viewVersion = 0;
 };
