Try doubtful upstreams beside the chosen one

Change: idempotent requests with short answers are sent to a doubtful upstream too, 0.6 times a second and upstream over the fleet, within the budget of repeats.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -291,6 +291,9 @@
         hooks.onRequestEnd = [this](const caller::request_report &report) {
             onRequestEnd(report);
         };
+        hooks.chooseTrial = [this](const caller::selection_request &request) {
+            return chooseTrial(request);
+        };
         hooks.callerService = [this] {
             return m_settings.service;
         };
@@ -298,14 +301,17 @@
         return hooks;
     }
 
+    auto placementOf(const caller::selection_request &request) const -> policy::placement_request
+    {
+        return {request.service.id, request.route,  request.idempotent,
+                request.bodyBytes,  request.excluded, request.target,
+                request.deadline,   expectedTime(request), request.isParallel};
+    }
+
     auto select(const caller::selection_request &request) -> base::result<caller::chosen_node>
     {
-        const policy::placement_request wanted{request.service.id, request.route,
-                                               request.idempotent, request.bodyBytes,
-                                               request.excluded,   request.target,
-                                               request.deadline,   expectedTime(request),
-                                               request.isParallel};
-        const auto node = m_placement.choose(request.view, wanted, base::clock::now());
+        const auto node =
+                m_placement.choose(request.view, placementOf(request), base::clock::now());
         if (!node) {
             return tl::unexpected(node.error());
         }
@@ -321,6 +327,22 @@
                                    maxWait(request, node->wait)};
     }
 
+    auto chooseTrial(const caller::selection_request &request)
+            -> std::optional<caller::chosen_node>
+    {
+        const auto now = base::clock::now();
+        const auto *node =
+                m_placement.chooseTrial(request.view, placementOf(request), m_entries, now);
+        if (node == nullptr) {
+            return std::nullopt;
+        }
+        if (!m_repeats.trySpend(request.service.id, now)) {
+            m_placement.onEnd(node->id, request.service.id, base::error_kind::CallerGone, {}, now);
+            return std::nullopt;
+        }
+        return caller::chosen_node{node->id, 0, node->peerAddress, 0.0, base::duration::zero()};
+    }
+
     auto expectedTime(const caller::selection_request &request) const -> base::duration
     {
         return m_latencies.mean(request.route, request.target - request.arrival);
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -171,6 +171,8 @@
     std::function<boost::asio::awaitable<admission>(base::organisation_id organisation)> admit;
     //! Errors: `NoUpstream`, `UpstreamEjected`, `QueueFull`, `RegionLinkBusy`.
     std::function<base::result<chosen_node>(const selection_request &request)> select;
+    //! Chooses a node that is to be tried beside the first one, if one should be.
+    std::function<std::optional<chosen_node>(const selection_request &request)> chooseTrial;
     //! Called before each first attempt; feeds the retry budget.
     std::function<void(const config::service &service, const base::organisation_id &organisation)>
             onFirstAttempt;
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -92,6 +92,7 @@
     auto choose() -> base::result<chosen_node>;
     auto launch(const chosen_node &chosen) -> task<refusal_or_done>;
     auto launchParallel() -> task<void>;
+    auto launchTrial() -> task<void>;
     auto planRepeat(const chosen_node &chosen) -> void;
     auto nextAttempt() -> task<attempt_pointer>;
     auto isAnswer(const attempt &item) const -> bool;
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -133,6 +133,7 @@
     if (auto refused = co_await launch(*first)) {
         co_return refused;
     }
+    co_await launchTrial();
     while (true) {
         const auto ended = co_await nextAttempt();
         if (m_cancel.reason() && m_attempts.running() == 0) {
@@ -216,6 +217,26 @@
     }
 }
 
+// The first answer counts, so a try does not delay the request.
+auto entry_request::launchTrial() -> task<void>
+{
+    const auto &chooseTrial = m_owner.dependencies().hooks.chooseTrial;
+    if (!chooseTrial || !m_request.idempotent || !m_request.bodyComplete || maxAttempts() < 2) {
+        co_return;
+    }
+    auto wanted = selection();
+    for (const auto &item : m_attempts.items()) {
+        wanted.excluded.push_back(item->chosen.id);
+    }
+    const auto chosen = chooseTrial(wanted);
+    if (!chosen) {
+        co_return;
+    }
+    const auto repeatAt = m_repeatAt;
+    co_await launch(*chosen);
+    m_repeatAt = repeatAt;
+}
+
 // Starts another attempt beside those under way, if there is a node, a budget and time for it.
 auto entry_request::launchParallel() -> task<void>
 {
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -19,6 +19,10 @@
 //! Round trip between regions.
 constexpr base::milliseconds REGION_ROUND_TRIP{41};
 constexpr double ANSWER_BYTES_SMOOTHING = 0.1;
+//! Time over which the rate of requests is averaged.
+constexpr base::milliseconds RATE_TIME{3000};
+//! Share of the requests that may be used for tries.
+constexpr double MAX_TRIAL_SHARE = 0.25;
 //! Length of the answers of a route before the first one: long enough to stay near.
 constexpr double UNKNOWN_ANSWER_BYTES = 20'000.0;
 //! Value of an upstream that must not be chosen.
@@ -76,11 +80,76 @@
                           hasPaused ? "all paths to upstreams of the service failed" : "");
     }
     auto &state = m_places[{best->id, request.service}];
+    if (request.idempotent && !request.needsFreeSlot) {
+        rateOf(request.service, now);
+        m_rates[request.service].count += 1.0;
+    }
     const auto usable = usableAt(state, bestSlots, now);
     const auto wait = waitAt(state, usable, busyAt(state, usable, now));
+    const auto health = healthOf(state, now);
+    occupy(*best, request.service);
+    return placed_request{best, health, wait};
+}
+
+auto placement::occupy(const membership::node_entry &node, const base::service_id &service)
+        -> place_state &
+{
+    auto &state = m_places[{node.id, service}];
     ++state.underWay;
     ++state.sinceReport;
-    return placed_request{best, healthOf(state, now), wait};
+    return state;
+}
+
+// Requests a second.
+auto placement::rateOf(const base::service_id &service, base::time_point now) -> double
+{
+    auto &rate = m_rates[service];
+    rate.count *= std::exp(-base::toSeconds(now - rate.at) / base::toSeconds(RATE_TIME));
+    rate.at = now;
+    return rate.count / base::toSeconds(RATE_TIME);
+}
+
+auto placement::doubtfulPlaces(const membership::view &view, const placement_request &request,
+                               base::time_point now) const
+        -> std::vector<const membership::node_entry *>
+{
+    std::vector<const membership::node_entry *> places;
+    for (const auto &place : view.upstreamsOf(request.service)) {
+        if (place.upstream->state != membership::upstream_state::Ready
+            || isPathPaused(place.node->id, now)) {
+            continue;
+        }
+        const auto known = m_places.find({place.node->id, request.service});
+        const bool isUnheard = known == m_places.end() || trustIn(known->second, now) <= 0.0;
+        if (isUnheard || known->second.load.health < DOUBTFUL_HEALTH) {
+            places.push_back(place.node);
+        }
+    }
+    return places;
+}
+
+auto placement::chooseTrial(const membership::view &view, const placement_request &request,
+                            std::size_t entries, base::time_point now)
+        -> const membership::node_entry *
+{
+    const auto known = m_answerBytes.find(request.route);
+    if (!request.idempotent || known == m_answerBytes.end() || known->second > MAX_TRIAL_BYTES) {
+        return nullptr;
+    }
+    const auto places = doubtfulPlaces(view, request, now);
+    const double fleetRate =
+            std::max(0.1, rateOf(request.service, now)) * static_cast<double>(entries);
+    const double wanted = TRIALS_PER_SECOND * static_cast<double>(places.size()) / fleetRate;
+    if (places.empty() || !m_random.chance(std::min(MAX_TRIAL_SHARE, wanted))) {
+        return nullptr;
+    }
+    const auto *node = places.at(m_random.below(places.size()));
+    const auto &excluded = request.excluded;
+    if (std::find(excluded.begin(), excluded.end(), node->id) != excluded.end()) {
+        return nullptr;
+    }
+    occupy(*node, request.service);
+    return node;
 }
 
 auto placement::believedHealth(const membership::upstream_place &place,
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -66,6 +66,12 @@
     //! A request that can't be repeated is refused rather than sent to an upstream below this health:
     //! its caller can come back after a refusal, but not after an attempt without an answer.
     static constexpr double MIN_HEALTH_ONCE = 0.32;
+    //! Tries a second of one doubtful upstream, over all nodes.
+    static constexpr double TRIALS_PER_SECOND = 0.6;
+    //! Upstreams below this health are tried.
+    static constexpr double DOUBTFUL_HEALTH = 0.55;
+    //! Longest answer of a route that is used for tries.
+    static constexpr double MAX_TRIAL_BYTES = 20'000.0;
     //! First time for which a path that failed is avoided; doubled for each further failure.
     static constexpr base::milliseconds FIRST_PATH_PAUSE{300};
     static constexpr base::milliseconds MAX_PATH_PAUSE{2400};
@@ -78,6 +84,13 @@
     auto choose(const membership::view &view, const placement_request &request,
                 base::time_point now) -> base::result<placed_request>;
 
+    //! Chooses an upstream that is to be tried beside the chosen one, or null: one that stopped
+    //! answering, or of which nothing was heard, may answer again. The nodes together try each of them
+    //! about every second or two, with idempotent requests that have short answers.
+    //! Precondition: `choose` was called for the request.
+    auto chooseTrial(const membership::view &view, const placement_request &request,
+                     std::size_t entries, base::time_point now) -> const membership::node_entry *;
+
     //! Reports the end of an attempt. `load` is what the executing node reported with it.
     auto onEnd(const base::node_id &node, const base::service_id &service,
                const std::optional<base::error_kind> &failure,
@@ -106,8 +119,21 @@
         base::time_point pausedUntil{};
         std::uint32_t failures = 0;
     };
+    // Idempotent requests of this node for a service, averaged.
+    struct request_rate
+    {
+        double count = 0.0;
+        base::time_point at{};
+    };
     using place_key = std::pair<base::node_id, base::service_id>;
 
+    auto occupy(const membership::node_entry &node, const base::service_id &service)
+            -> place_state &;
+    auto rateOf(const base::service_id &service, base::time_point now) -> double;
+    [[nodiscard]] auto doubtfulPlaces(const membership::view &view,
+                                      const placement_request &request,
+                                      base::time_point now) const
+            -> std::vector<const membership::node_entry *>;
     [[nodiscard]] auto believedHealth(const membership::upstream_place &place,
                                       const placement_request &request,
                                       base::time_point now) const -> double;
@@ -134,6 +160,7 @@
     std::map<place_key, place_state> m_places;
     std::unordered_map<base::node_id, path_state> m_paths;
     std::unordered_map<base::route_id, double> m_answerBytes;
+    std::unordered_map<base::service_id, request_rate> m_rates;
 };
 
 } // namespace hawthornpick::policy
