--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -30,7 +30,10 @@
 {
     if (m_isWaiting && now - m_sentAt >= ANSWER_TIME) {
         m_isWaiting = false;
-        giveUpHub(now);
+        ++m_unanswered;
+        if (m_unanswered >= MAX_UNANSWERED) {
+            giveUpHub(now);
+        }
         m_reportAt = now;
     }
     if (now < m_reportAt) {
@@ -74,6 +77,7 @@
         return {};
     }
     m_isWaiting = false;
+    m_unanswered = 0;
     m_mark = answer.mark;
     bool isChanged = false;
     for (const auto &record : answer.records) {
@@ -186,6 +190,7 @@
 
 auto reporter::giveUpHub(base::time_point now) -> void
 {
+    m_unanswered = 0;
     m_failedUntil[m_hub] = now + AVOID_TIME;
 }
 
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -36,6 +36,8 @@
     static constexpr base::milliseconds REPORT_INTERVAL{500};
     //! An answer takes a round trip between regions at most; a hub may be slow to be scheduled.
     static constexpr base::milliseconds ANSWER_TIME{400};
+    //! Reports without an answer after which a hub is given up. One datagram may be lost.
+    static constexpr int MAX_UNANSWERED = 2;
     //! Stale hubs that are asked one after the other without a pause.
     static constexpr int MAX_STALE_ANSWERS = 12;
     //! Time for which a hub that failed is avoided.
@@ -80,6 +82,8 @@
     base::time_point m_reportAt;
     base::time_point m_sentAt;
     bool m_isWaiting = false;
+    //! Reports in a row to the hub in use that were not answered.
+    int m_unanswered = 0;
     //! Answers in a row of hubs that may have missed versions.
     int m_staleAnswers = 0;
     base::config_version m_version = 0;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -1,1 +1,248 @@
-// placeholder
+#include "fleet/hub.h"
+#include "fleet/reporter.h"
+#include "tests/support/virtualnetwork.h"
+
+#include <CppUTest/TestHarness.h>
+#include <memory>
+
+using namespace hawthornpick;
+using std::chrono::milliseconds;
+
+namespace {
+
+auto endpointOf(int index) -> membership::endpoint
+{
+    return {"10.0.0." + std::to_string(index + 1), 7000};
+}
+
+auto nodeOf(int index) -> base::node_id
+{
+    return fleet::nodeAt(endpointOf(index));
+}
+
+auto recordOf(int index, bool isHub) -> fleet::node_record
+{
+    fleet::node_record record;
+    record.entry.id = nodeOf(index);
+    record.entry.peerAddress = endpointOf(index);
+    record.entry.region = base::region_id(index % 2 == 0 ? "r0" : "r1");
+    record.entry.failureDomain = base::failure_domain_id("d" + std::to_string(index % 4));
+    record.generation = 1;
+    record.isHub = isHub;
+    return record;
+}
+
+auto upstreamOf(const std::string &id) -> membership::upstream_entry
+{
+    membership::upstream_entry entry;
+    entry.id = base::upstream_id(id);
+    entry.service = base::service_id("s");
+    entry.slots = 4;
+    entry.state = membership::upstream_state::Ready;
+    return entry;
+}
+
+//! A node with its reporter, and its hub if it has one.
+struct directory_node
+{
+    std::unique_ptr<fleet::reporter> reporter;
+    std::unique_ptr<fleet::hub> hub;
+    membership::view_pointer view = std::make_shared<const membership::view>();
+    base::config_version version = 0;
+    base::usage_map totals;
+    base::usage_map usage;
+    base::node_id hubInUse;
+    bool isFresh = true;
+};
+
+class directory_fleet
+{
+public:
+    directory_fleet(int nodes, int hubs) : m_network(11, {0.02, 0.02}), m_nodes(nodes)
+    {
+        for (int i = 0; i < 3; ++i) {
+            m_contacts.push_back(nodeOf(i));
+        }
+        for (int i = 0; i < nodes; ++i) {
+            start(i, i < hubs, 1);
+        }
+    }
+
+    auto start(int index, bool isHub, std::uint64_t generation) -> void
+    {
+        auto &node = m_nodes.at(index);
+        auto record = recordOf(index, isHub);
+        record.generation = generation;
+        fleet::reporter_sinks sinks;
+        sinks.onView = [&node](membership::view_pointer view) { node.view = std::move(view); };
+        sinks.onDocument = [&node](const fleet::config_document &document) {
+            node.version = document.version;
+        };
+        sinks.onTotals = [&node](const base::usage_map &totals) { node.totals = totals; };
+        sinks.usages = [&node] { return node.usage; };
+        sinks.onHub = [&node](const base::node_id &hub) { node.hubInUse = hub; };
+        node.reporter = std::make_unique<fleet::reporter>(record, m_contacts, sinks);
+        node.hub.reset();
+        if (isHub) {
+            node.hub = std::make_unique<fleet::hub>(
+                    fleet::hub_options{m_contacts, m_network.random().bits()}, record,
+                    [&node](base::time_point) { return node.isFresh; },
+                    [](const base::organisation_id &, const base::rate_usage &) { return false; });
+        }
+        attach(index);
+    }
+
+    auto node(int index) -> directory_node & { return m_nodes.at(index); }
+    auto network() -> testsupport::virtual_network & { return m_network; }
+    auto run(milliseconds span) -> void { m_network.run(span); }
+
+    auto publish(int hub, base::config_version version) -> void
+    {
+        auto out = node(hub).hub->publish({version, "content"}, m_network.now());
+        m_network.send(nodeOf(hub), out);
+    }
+
+    auto upstreamsSeenBy(int index) -> std::size_t
+    {
+        return node(index).view->upstreamsOf(base::service_id("s")).size();
+    }
+
+private:
+    auto attach(int index) -> void
+    {
+        auto &node = m_nodes.at(index);
+        const auto receive = [&node](const base::node_id &from, base::channel /*kind*/,
+                                     std::string_view payload, base::time_point now) {
+            const auto content = fleet::decodeMessage(payload);
+            auto out = node.reporter->receive(from, *content, now);
+            if (node.hub) {
+                auto more = node.hub->receive(from, *content, now);
+                out.insert(out.end(), more.begin(), more.end());
+            }
+            return out;
+        };
+        const auto tick = [&node](base::time_point now) {
+            auto out = node.reporter->tick(now);
+            if (node.hub) {
+                auto more = node.hub->tick(now);
+                out.insert(out.end(), more.begin(), more.end());
+            }
+            return out;
+        };
+        m_network.attach(nodeOf(index), receive, tick);
+    }
+
+    testsupport::virtual_network m_network;
+    std::vector<directory_node> m_nodes;
+    std::vector<base::node_id> m_contacts;
+};
+
+} // namespace
+
+TEST_GROUP(directory)
+{};
+
+// Guards against nodes that find only the seeds: every node learns every upstream through its hub.
+TEST(directory, spreadsUpstreamsFromThreeSeeds)
+{
+    directory_fleet fleet(12, 5);
+    fleet.run(milliseconds(2500));
+    for (int i = 5; i < 12; ++i) {
+        fleet.node(i).reporter->setUpstreams({upstreamOf("u" + std::to_string(i))});
+    }
+    fleet.run(milliseconds(3000));
+    for (int i = 0; i < 12; ++i) {
+        CHECK_EQUAL(7, fleet.upstreamsSeenBy(i));
+    }
+}
+
+// Guards against a hub in another region while a near one is up.
+TEST(directory, prefersTheNearestHub)
+{
+    directory_fleet fleet(12, 5);
+    fleet.run(milliseconds(5000));
+    // Hubs 0 and 4 share the failure domain of node 8.
+    const auto hub = fleet.node(8).hubInUse;
+    CHECK(hub == nodeOf(0) || hub == nodeOf(4));
+    STRCMP_EQUAL(nodeOf(3).str().c_str(), fleet.node(11).hubInUse.str().c_str());
+}
+
+// Guards against a node that stays with a hub which may have missed versions: it passes five stale
+// hubs within the time that a version may take.
+TEST(directory, leavesStaleHubsAtOnce)
+{
+    directory_fleet fleet(14, 8);
+    fleet.run(milliseconds(4000));
+    for (int i = 0; i < 7; ++i) {
+        fleet.node(i).isFresh = false;
+    }
+    fleet.publish(7, 9);
+    fleet.run(milliseconds(1500));
+    for (int i = 8; i < 14; ++i) {
+        CHECK_EQUAL(9, fleet.node(i).version);
+    }
+}
+
+// Guards against a version that waits for the next report.
+TEST(directory, pushesCommittedVersions)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(4000));
+    for (int i = 0; i < 3; ++i) {
+        fleet.publish(i, 4);
+    }
+    fleet.run(milliseconds(60));
+    int informed = 0;
+    for (int i = 0; i < 8; ++i) {
+        informed += fleet.node(i).version == 4 ? 1 : 0;
+    }
+    CHECK(informed >= 6);
+}
+
+// Guards against a restarted node whose clock went back: its new description counts.
+TEST(directory, takesANodeThatRestartsWithAnOlderGeneration)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(3000));
+    fleet.start(6, false, 100);
+    fleet.run(milliseconds(2000));
+    fleet.start(6, false, 50);
+    fleet.run(milliseconds(1000));
+    fleet.node(6).reporter->setUpstreams({upstreamOf("late")});
+    fleet.run(milliseconds(3000));
+    CHECK_EQUAL(1, fleet.upstreamsSeenBy(7));
+}
+
+// Guards against shares of a rate that are divided by an incomplete demand.
+TEST(directory, sumsUpUsageOverAllHubs)
+{
+    directory_fleet fleet(10, 4);
+    fleet.network().setFaults({});
+    const base::organisation_id organisation("o");
+    for (int i = 4; i < 10; ++i) {
+        fleet.node(i).usage[organisation] = {2.0, 5.0};
+    }
+    fleet.run(milliseconds(6000));
+    for (int i = 4; i < 10; ++i) {
+        DOUBLES_EQUAL(12.0, fleet.node(i).totals[organisation].demand, 1e-9);
+        DOUBLES_EQUAL(30.0, fleet.node(i).totals[organisation].admitted, 1e-9);
+    }
+}
+
+// Guards against a node that loses the directory and its version when all hubs are away.
+TEST(directory, keepsWhatItKnowsWithoutHubs)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(2000));
+    fleet.node(5).reporter->setUpstreams({upstreamOf("u5")});
+    fleet.publish(0, 3);
+    fleet.publish(1, 3);
+    fleet.publish(2, 3);
+    fleet.run(milliseconds(2000));
+    for (int i = 0; i < 3; ++i) {
+        fleet.network().crash(nodeOf(i));
+    }
+    fleet.run(milliseconds(30'000));
+    CHECK_EQUAL(1, fleet.upstreamsSeenBy(7));
+    CHECK_EQUAL(3, fleet.node(7).version);
+}
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -262,6 +262,8 @@
     state.underWay -= std::min(state.underWay, 1U);
     if (load) {
         onLoad(node, service, *load, now);
+    } else {
+        state.sinceReport -= std::min(state.sinceReport, 1U);
     }
     if (failure && isPathFailure(*failure)) {
         auto &path = m_paths[node];
--- /dev/null
+++ b/src/policy/tests/placementtest.cpp
@@ -0,0 +1,179 @@
+#include "policy/placement.h"
+
+#include <CppUTest/TestHarness.h>
+#include <map>
+
+using namespace hawthornpick;
+using policy::placement;
+using std::chrono::milliseconds;
+
+namespace {
+
+const base::service_id SERVICE("s");
+const base::route_id ROUTE("r");
+
+auto nodeOf(int index) -> base::node_id
+{
+    return base::node_id("n" + std::to_string(index));
+}
+
+auto entryOf(int index, const std::string &region) -> membership::node_entry
+{
+    membership::node_entry node;
+    node.id = nodeOf(index);
+    node.region = base::region_id(region);
+    node.failureDomain = base::failure_domain_id(region + "-a");
+    membership::upstream_entry upstream;
+    upstream.id = base::upstream_id("u" + std::to_string(index));
+    upstream.service = SERVICE;
+    upstream.slots = 5;
+    upstream.state = membership::upstream_state::Ready;
+    node.upstreams = {upstream};
+    return node;
+}
+
+auto loadOf(std::uint32_t busy, double health) -> policy::service_load
+{
+    return {5, busy, 0, milliseconds(300), health, 1.0};
+}
+
+} // namespace
+
+TEST_GROUP(placement)
+{
+    base::time_point m_now{std::chrono::seconds(100)};
+    placement m_placement{{nodeOf(0), base::region_id("near"), base::failure_domain_id("near-a")}, 1};
+    membership::view m_view{1,
+                            {entryOf(0, "near"), entryOf(1, "near"), entryOf(2, "near"),
+                             entryOf(3, "far")}};
+
+    auto request(bool idempotent) const -> policy::placement_request
+    {
+        policy::placement_request wanted;
+        wanted.service = SERVICE;
+        wanted.route = ROUTE;
+        wanted.idempotent = idempotent;
+        wanted.target = m_now + milliseconds(800);
+        wanted.deadline = m_now + milliseconds(2000);
+        wanted.expected = milliseconds(300);
+        return wanted;
+    }
+
+    auto report(int node, std::uint32_t busy, double health) -> void
+    {
+        m_placement.onLoad(nodeOf(node), SERVICE, loadOf(busy, health), m_now);
+    }
+
+    //! Counts where requests that end at once are placed.
+    auto place(int count, bool idempotent) -> std::map<base::node_id, int>
+    {
+        std::map<base::node_id, int> placed;
+        for (int i = 0; i < count; ++i) {
+            const auto chosen = m_placement.choose(m_view, request(idempotent), m_now);
+            if (chosen) {
+                ++placed[chosen->node->id];
+                m_placement.onEnd(chosen->node->id, SERVICE, base::error_kind::CallerGone, {},
+                                  m_now);
+            }
+        }
+        return placed;
+    }
+};
+
+// Guards against sending requests to an upstream that probably hangs while others are free.
+TEST(placement, avoidsAnUpstreamThatProbablyHangs)
+{
+    report(0, 1, 0.97);
+    report(1, 1, 0.28);
+    report(2, 1, 0.97);
+    report(3, 1, 0.97);
+    CHECK_EQUAL(0, place(200, true)[nodeOf(1)]);
+}
+
+// Guards against losing a request that can't be repeated: it is refused rather than sent where
+// nothing is answered.
+TEST(placement, refusesAOnceOnlyRequestWhereAllUpstreamsHang)
+{
+    for (int node = 0; node < 4; ++node) {
+        report(node, 0, 0.27);
+    }
+    const auto once = m_placement.choose(m_view, request(false), m_now);
+    CHECK(!once);
+    CHECK(once.error().kind == base::error_kind::Overloaded);
+    CHECK(m_placement.choose(m_view, request(true), m_now).has_value());
+}
+
+// Guards against long answers that cross regions, whose bytes cost more than the answer is worth.
+TEST(placement, keepsLongAnswersInTheRegion)
+{
+    for (int i = 0; i < 50; ++i) {
+        m_placement.onAnswerBytes(ROUTE, 90'000);
+    }
+    for (int node = 0; node < 3; ++node) {
+        report(node, 5, 0.9);
+    }
+    report(3, 0, 0.97);
+    CHECK_EQUAL(0, place(100, true)[nodeOf(3)]);
+}
+
+// Guards against paying for bytes when the own region has room.
+TEST(placement, leavesTheRegionForShortAnswersOnlyUnderLoad)
+{
+    for (int i = 0; i < 50; ++i) {
+        m_placement.onAnswerBytes(ROUTE, 400);
+    }
+    for (int node = 0; node < 3; ++node) {
+        report(node, 1, 0.97);
+    }
+    report(3, 1, 0.97);
+    const int calm = place(200, true)[nodeOf(3)];
+    for (int node = 0; node < 3; ++node) {
+        report(node, 5, 0.97);
+    }
+    report(3, 0, 0.97);
+    CHECK(place(200, true)[nodeOf(3)] > calm);
+}
+
+// Guards against a path that is cut for this node only: it is avoided with a growing pause, and the
+// upstream is used again once the path answers.
+TEST(placement, avoidsAPathThatFailed)
+{
+    for (int node = 0; node < 4; ++node) {
+        report(node, 1, 0.97);
+    }
+    m_placement.onEnd(nodeOf(1), SERVICE, base::error_kind::PeerUnreachable, {}, m_now);
+    CHECK_EQUAL(0, place(100, true)[nodeOf(1)]);
+    m_now += placement::FIRST_PATH_PAUSE;
+    for (int node = 0; node < 4; ++node) {
+        report(node, 1, 0.97);
+    }
+    CHECK(place(100, true)[nodeOf(1)] > 0);
+    m_placement.onEnd(nodeOf(1), SERVICE, base::error_kind::PeerUnreachable, {}, m_now);
+    m_now += placement::FIRST_PATH_PAUSE;
+    for (int node = 0; node < 4; ++node) {
+        report(node, 1, 0.97);
+    }
+    CHECK_EQUAL(0, place(100, true)[nodeOf(1)]);
+}
+
+// Guards against upstreams that are never asked again after they stopped answering: the nodes
+// together try each doubtful one several times in ten seconds.
+TEST(placement, triesDoubtfulUpstreams)
+{
+    m_placement.onAnswerBytes(ROUTE, 500);
+    int tries = 0;
+    for (int i = 0; i < 100; ++i) {
+        m_now += milliseconds(100);
+        report(0, 1, 0.97);
+        report(1, 1, 0.28);
+        report(2, 1, 0.97);
+        report(3, 1, 0.97);
+        place(1, true);
+        const auto *node = m_placement.chooseTrial(m_view, request(true), 1, m_now);
+        if (node != nullptr) {
+            STRCMP_EQUAL(nodeOf(1).str().c_str(), node->id.str().c_str());
+            ++tries;
+        }
+    }
+    CHECK_TEXT(tries >= 2 && tries <= 20, std::to_string(tries).c_str());
+}
