--- a/src/app/tests/decisionlogtest.cpp
+++ b/src/app/tests/decisionlogtest.cpp
@@ -1,8 +1,10 @@
 #include "app/internal/decisionlog.h"
 
-#include <CppUTest/TestHarness.h>
+// Before CppUTest, which redefines `new`.
 #include <map>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace hawthornpick;
 using app::decision_log;
 using app::log_event;
