--- a/src/app/internal/decisionlog.h
+++ b/src/app/internal/decisionlog.h
@@ -45,8 +45,8 @@
     decision_log();
     decision_log(write_function write, summary_function summarize);
 
-    auto write(log_event event, base::time_point now,
-               std::initializer_list<base::log_field> fields) -> void;
+    auto write(log_event event, base::time_point now, std::initializer_list<base::log_field> fields)
+            -> void;
 
 private:
     struct event_state
--- a/src/app/internal/meshcommand.cpp
+++ b/src/app/internal/meshcommand.cpp
@@ -44,9 +44,9 @@
 public:
     mesh_process(std::string settingsFile, config::mesh_settings settings, mesh_adapter adapter)
         : m_settingsFile(std::move(settingsFile)), m_settings(std::move(settings)),
-          m_node(m_context, m_settings, std::move(adapter)), m_stopSignals(m_context, SIGTERM,
-                                                                           SIGINT),
-          m_reloadSignals(m_context, SIGHUP), m_stopTimer(m_context), m_settingsTimer(m_context)
+          m_node(m_context, m_settings, std::move(adapter)),
+          m_stopSignals(m_context, SIGTERM, SIGINT), m_reloadSignals(m_context, SIGHUP),
+          m_stopTimer(m_context), m_settingsTimer(m_context)
     {}
 
     auto run() -> exit_code
--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -55,11 +55,11 @@
     if (!settings.dataFolder.empty()) {
         startGroup(settings);
     }
-    m_runtime.onMessage(base::channel::Directory,
-                        [this](const base::node_id &from, std::string_view payload,
-                               base::time_point now) {
-                            return receiveDirectory(from, payload, now);
-                        });
+    m_runtime.onMessage(
+            base::channel::Directory,
+            [this](const base::node_id &from, std::string_view payload, base::time_point now) {
+                return receiveDirectory(from, payload, now);
+            });
     m_runtime.onTick([this](base::time_point now) { return tick(now); });
 }
 
@@ -112,9 +112,10 @@
         std::sort(group.replica.firstMembers.begin(), group.replica.firstMembers.end());
     }
     group.dataFolder = settings.dataFolder;
-    m_hub.emplace(fleet::hub_options{group.replica.contacts, m_boot}, recordOf(settings),
-                  [this](base::time_point now) { return m_quorum->isFresh(now, FRESH_TIME); },
-                  m_sinks.isOverLimit);
+    m_hub.emplace(
+            fleet::hub_options{group.replica.contacts, m_boot}, recordOf(settings),
+            [this](base::time_point now) { return m_quorum->isFresh(now, FRESH_TIME); },
+            m_sinks.isOverLimit);
     m_quorum.emplace(
             std::move(group),
             [this](base::config_version version, const std::string &current,
@@ -122,11 +123,11 @@
             base::systemSeed(),
             [this](quorum::quorum_node::task task) { m_runtime.post(std::move(task)); },
             [this](const quorum::value_pointer &value) { onCommitted(value); });
-    m_runtime.onMessage(base::channel::Quorum,
-                        [this](const base::node_id &from, std::string_view payload,
-                               base::time_point now) {
-                            return m_quorum->receive(from, payload, now);
-                        });
+    m_runtime.onMessage(
+            base::channel::Quorum,
+            [this](const base::node_id &from, std::string_view payload, base::time_point now) {
+                return m_quorum->receive(from, payload, now);
+            });
 }
 
 // Documents are kept and sent in compressed form.
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -13,8 +13,8 @@
 #include "status/statusserver.h"
 #include "upstream/upstreamservice.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 
 namespace hawthornpick::app {
@@ -88,13 +88,14 @@
           m_identity(identityOf(settings)),
           m_configuration(std::make_shared<const config::snapshot>()),
           m_fleet(std::make_shared<const membership::view>()),
-          m_placement(placementSettings(settings), base::systemSeed()),
-          m_health(m_configuration), m_random(base::systemSeed()),
+          m_placement(placementSettings(settings), base::systemSeed()), m_health(m_configuration),
+          m_random(base::systemSeed()),
           m_repeats({settings.repeatShare * REPEAT_SHARE_PART, 0.0, settings.repeatWindow}),
           m_shares({}, base::systemSeed()),
           m_control(context, settings, m_adapter, m_identity, m_metrics, controlSinks()),
           m_upstreams({&context}, {}, upstreamDependencies()),
-          m_links(context, m_identity,
+          m_links(
+                  context, m_identity,
                   [this](peer::stream_pointer incoming) {
                       m_upstreams.executorOf(0).serve(std::move(incoming));
                   },
@@ -145,9 +146,8 @@
             waitThen(LEAVE_NOTICE, [this, done] { waitForExecutor(done); });
             return;
         }
-        waitThen(CALLER_NOTICE, [this, done] {
-            m_callers->drain([this, done] { waitForExecutor(done); });
-        });
+        waitThen(CALLER_NOTICE,
+                 [this, done] { m_callers->drain([this, done] { waitForExecutor(done); }); });
     }
 
     [[nodiscard]] auto openConnections() const -> std::size_t
@@ -303,8 +303,8 @@
 
     auto placementOf(const caller::selection_request &request) const -> policy::placement_request
     {
-        return {request.service.id, request.route,  request.idempotent,
-                request.bodyBytes,  request.excluded, request.target,
+        return {request.service.id, request.route,         request.idempotent,
+                request.bodyBytes,  request.excluded,      request.target,
                 request.deadline,   expectedTime(request), request.isParallel};
     }
 
@@ -327,8 +327,7 @@
                                    maxWait(request, node->wait)};
     }
 
-    auto chooseTrial(const caller::selection_request &request)
-            -> std::optional<caller::chosen_node>
+    auto chooseTrial(const caller::selection_request &request) -> std::optional<caller::chosen_node>
     {
         const auto now = base::clock::now();
         const auto *node =
@@ -412,15 +411,16 @@
                      {"late", report.isLate}});
     }
 
-    // Upstreams that refuse single requests take the next one at once; other refusals mean that room
-    // is expected after about the time of a request. Spread out, so that callers that were refused
-    // together do not return together.
+    // Upstreams that refuse single requests take the next one at once; other refusals mean that
+    // room is expected after about the time of a request. Spread out, so that callers that were
+    // refused together do not return together.
     auto retryAfter(base::error_kind why) -> base::milliseconds
     {
         const bool isMomentary = why == base::error_kind::UpstreamRefused
                                  || why == base::error_kind::RetryBudgetExhausted;
         const auto first = isMomentary ? MOMENTARY_RETRY_AFTER : USUAL_RETRY_AFTER;
-        return first + base::milliseconds(m_random.below(static_cast<std::uint64_t>(first.count() * 2)));
+        return first
+               + base::milliseconds(m_random.below(static_cast<std::uint64_t>(first.count() * 2)));
     }
 
     auto repeatAfter(const caller::selection_request &request) const -> base::duration
@@ -489,9 +489,8 @@
     auto waitThen(base::milliseconds span, std::function<void()> action) -> void
     {
         auto timer = std::make_shared<asio::steady_timer>(m_context, span);
-        timer->async_wait([timer, action = std::move(action)](const auto & /*failure*/) {
-            action();
-        });
+        timer->async_wait(
+                [timer, action = std::move(action)](const auto & /*failure*/) { action(); });
     }
 
     asio::io_context &m_context;
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -60,7 +60,7 @@
           m_operators(*m_admin.contexts().front(), settings.operatorAddress, settings.operatorKey,
                       m_control.operatorAccess()),
           m_status(*m_admin.contexts().front(), settings.statusAddress, m_metrics,
-                     [this] { return readiness(); })
+                   [this] { return readiness(); })
     {
         m_health.setRegistry(m_upstreams.registry());
         m_control.attach(m_health);
--- a/src/base/internal/log.cpp
+++ b/src/base/internal/log.cpp
@@ -68,8 +68,7 @@
         || (state.revents & POLLOUT) == 0) {
         return false;
     }
-    return ::write(STDOUT_FILENO, line.data(), line.size())
-           == static_cast<ssize_t>(line.size());
+    return ::write(STDOUT_FILENO, line.data(), line.size()) == static_cast<ssize_t>(line.size());
 }
 
 //! Writes each message to standard output with one call, so that lines of several threads do not
--- a/src/caller/internal/answerwriter.cpp
+++ b/src/caller/internal/answerwriter.cpp
@@ -68,8 +68,7 @@
 } // namespace
 
 auto formatErrorAnswer(const base::error &failure, base::milliseconds retryAfter,
-                       const answer_style &style, const upstream::wire_profile &wire)
-        -> std::string
+                       const answer_style &style, const upstream::wire_profile &wire) -> std::string
 {
     const auto &row = base::answerFor(failure.kind);
     const auto status = wire.statusOf(failure.kind);
--- a/src/caller/internal/attemptset.cpp
+++ b/src/caller/internal/attemptset.cpp
@@ -14,8 +14,8 @@
 {
     m_status = start.status;
     m_bytes = start.body.size();
-    const auto expected = std::max<std::uint64_t>(start.contentLength.value_or(0),
-                                                  start.body.size());
+    const auto expected =
+            std::max<std::uint64_t>(start.contentLength.value_or(0), start.body.size());
     m_start = std::move(start);
     if (expected <= m_limit && m_limit > 0) {
         co_return base::result<void>{};
--- a/src/caller/internal/attemptset.h
+++ b/src/caller/internal/attemptset.h
@@ -22,8 +22,7 @@
     //! Takes over the answer when it exceeds the limit; a failure ends the attempt.
     using overflow_function =
             std::function<boost::asio::awaitable<base::result<void>>(upstream::answer_start)>;
-    using pass_function =
-            std::function<boost::asio::awaitable<base::result<void>>(std::string)>;
+    using pass_function = std::function<boost::asio::awaitable<base::result<void>>(std::string)>;
 
     collected_answer(std::size_t limit, overflow_function onOverflow, pass_function pass)
         : m_limit(limit), m_onOverflow(std::move(onOverflow)), m_pass(std::move(pass))
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -323,7 +323,8 @@
 auto entry_request::deadline() const -> base::time_point
 {
     auto limit = m_route->deadline;
-    if (const auto text = singleValue(m_parser.get().base(), m_owner.dependencies().wire.deadline)) {
+    if (const auto text =
+                singleValue(m_parser.get().base(), m_owner.dependencies().wire.deadline)) {
         std::int64_t wanted = 0;
         const auto [end, error] =
                 std::from_chars(text->data(), text->data() + text->size(), wanted);
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -353,7 +353,8 @@
 auto entry_request::mayRetry(const attempt &item) -> task<bool>
 {
     const auto &rules = m_owner.dependencies().hooks.rules;
-    const auto kind = item.result->failure ? item.result->failure->kind : error_kind::UpstreamFailed;
+    const auto kind =
+            item.result->failure ? item.result->failure->kind : error_kind::UpstreamFailed;
     const bool isRefusal = isNotRun(kind) && !item.result->answerStarted;
     m_starts += isRefusal && kind != error_kind::UpstreamRefused && rules.refusalsAreFree ? 0 : 1;
     m_mayHaveRun = m_mayHaveRun || !isRefusal;
--- a/src/caller/internal/requesthead.cpp
+++ b/src/caller/internal/requesthead.cpp
@@ -326,8 +326,7 @@
 }
 
 auto cleanHeaders(const request_fields &fields, const request_head &head,
-                  const upstream::wire_profile &wire, std::string_view callerAddress)
-        -> std::string
+                  const upstream::wire_profile &wire, std::string_view callerAddress) -> std::string
 {
     const auto options = connectionOptions(fields);
     std::string block;
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -54,8 +54,7 @@
     out.entry.region = base::region_id(item.region);
     out.entry.failureDomain = base::failure_domain_id(item.failure_domain);
     // The identity of a node in the directory is its address.
-    out.entry.peerAddress =
-            membership::parseEndpoint(item.node).value_or(membership::endpoint{});
+    out.entry.peerAddress = membership::parseEndpoint(item.node).value_or(membership::endpoint{});
     out.entry.state = static_cast<membership::node_state>(item.state);
     for (const auto &upstream : item.upstreams) {
         out.entry.upstreams.push_back(fromWire(upstream));
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -154,11 +154,11 @@
                           distanceTo(node),
                           base::rendezvousWeight(m_self.entry.id.str(), node.str()));
     };
-    const auto best = std::min_element(
-            candidates.begin(), candidates.end(),
-            [&rank](const base::node_id &left, const base::node_id &right) {
-                return rank(left) < rank(right);
-            });
+    const auto best =
+            std::min_element(candidates.begin(), candidates.end(),
+                             [&rank](const base::node_id &left, const base::node_id &right) {
+                                 return rank(left) < rank(right);
+                             });
     return best == candidates.end() ? base::node_id() : *best;
 }
 
@@ -176,8 +176,8 @@
     m_sinks.onHub(m_hub);
 }
 
-// Half of the hubs may be cut off from the leader. Waiting for the next report at each of them would
-// take longer than a version may take; when all of them are stale, the usual interval holds.
+// Half of the hubs may be cut off from the leader. Waiting for the next report at each of them
+// would take longer than a version may take; when all of them are stale, the usual interval holds.
 auto reporter::askNextHub(base::time_point now) -> messages
 {
     ++m_staleAnswers;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -74,13 +74,21 @@
         auto record = recordOf(index, isHub);
         record.generation = generation;
         fleet::reporter_sinks sinks;
-        sinks.onView = [&node](membership::view_pointer view) { node.view = std::move(view); };
+        sinks.onView = [&node](membership::view_pointer view) {
+            node.view = std::move(view);
+        };
         sinks.onDocument = [&node](const fleet::config_document &document) {
             node.version = document.version;
         };
-        sinks.onTotals = [&node](const base::usage_map &totals) { node.totals = totals; };
-        sinks.usages = [&node] { return node.usage; };
-        sinks.onHub = [&node](const base::node_id &hub) { node.hubInUse = hub; };
+        sinks.onTotals = [&node](const base::usage_map &totals) {
+            node.totals = totals;
+        };
+        sinks.usages = [&node] {
+            return node.usage;
+        };
+        sinks.onHub = [&node](const base::node_id &hub) {
+            node.hubInUse = hub;
+        };
         node.reporter = std::make_unique<fleet::reporter>(record, m_contacts, sinks);
         node.hub.reset();
         if (isHub) {
@@ -139,8 +147,7 @@
 
 } // namespace
 
-TEST_GROUP(directory)
-{};
+TEST_GROUP(directory){};
 
 // Guards against nodes that find only the seeds: every node learns every upstream through its hub.
 TEST(directory, spreadsUpstreamsFromThreeSeeds)
--- a/src/limits/demandshare.h
+++ b/src/limits/demandshare.h
@@ -36,10 +36,10 @@
 //!
 //! Each node admits its share of the rate: most of it in proportion to the demand that the nodes
 //! reported, the rest evenly, so that a node where an organisation appears can serve it. As long as
-//! the fleet admits far less than the limit, requests beyond the share are admitted too. Totals come
-//! about a second late; the share of a node is taken from what it had reported then, so that the
-//! shares of all nodes add up to one. A node without news keeps its last share.
-//! Thread safety of all members: one thread.
+//! the fleet admits far less than the limit, requests beyond the share are admitted too. Totals
+//! come about a second late; the share of a node is taken from what it had reported then, so that
+//! the shares of all nodes add up to one. A node without news keeps its last share. Thread safety
+//! of all members: one thread.
 class demand_share
 {
 public:
--- a/src/limits/tests/demandsharetest.cpp
+++ b/src/limits/tests/demandsharetest.cpp
@@ -6,8 +6,8 @@
 #include <vector>
 
 using namespace hawthornpick;
-using limits::demand_share;
 using base::usage_map;
+using limits::demand_share;
 using std::chrono::milliseconds;
 
 namespace {
@@ -26,7 +26,7 @@
     {
         for (std::size_t i = 0; i < nodes; ++i) {
             m_nodes.push_back(std::make_unique<demand_share>(limits::rate_tolerance{}, seed + i));
-            m_phase.push_back(milliseconds(10 * m_random.below(50)));
+            m_phase.emplace_back(10 * m_random.below(50));
             m_isCut.push_back(false);
         }
     }
@@ -119,8 +119,7 @@
 
 } // namespace
 
-TEST_GROUP(demand_share)
-{};
+TEST_GROUP(demand_share){};
 
 // Guards against a fleet that admits more than the limit when an organisation suddenly sends eight
 // times its usual load through all nodes, with some nodes cut off from the totals.
@@ -137,9 +136,9 @@
                 fleet.run(milliseconds(8000), rate * 5.0);
                 fleet.run(milliseconds(3000), rate * 0.2);
                 fleet.run(milliseconds(4000), rate * 5.0);
-                const auto text = "nodes " + std::to_string(nodes) + " rate "
-                                  + std::to_string(rate) + " seed " + std::to_string(seed)
-                                  + " most " + std::to_string(fleet.most()) + " bound "
+                const auto text = "nodes " + std::to_string(nodes) + " rate " + std::to_string(rate)
+                                  + " seed " + std::to_string(seed) + " most "
+                                  + std::to_string(fleet.most()) + " bound "
                                   + std::to_string(fleet.bound());
                 CHECK_TEXT(fleet.most() <= fleet.bound(), text.c_str());
             }
--- a/src/policy/internal/healthbelief.cpp
+++ b/src/policy/internal/healthbelief.cpp
@@ -20,9 +20,8 @@
                           base::time_point now) -> void
 {
     const auto position =
-            std::find_if(m_requests.rbegin(), m_requests.rend(), [&](const request_state &item) {
-                return item.attempt == attempt;
-            });
+            std::find_if(m_requests.rbegin(), m_requests.rend(),
+                         [&](const request_state &item) { return item.attempt == attempt; });
     if (position == m_requests.rend()) {
         return;
     }
@@ -42,8 +41,8 @@
     }
 }
 
-auto health_belief::likelihood(const request_state &item, bool isGood,
-                               base::time_point now) const -> double
+auto health_belief::likelihood(const request_state &item, bool isGood, base::time_point now) const
+        -> double
 {
     const double failureShare =
             isGood ? m_parameters.goodFailureShare : m_parameters.badFailureShare;
--- a/src/policy/internal/latencymodel.cpp
+++ b/src/policy/internal/latencymodel.cpp
@@ -71,8 +71,8 @@
     return (1.0 - LONG_SHARE) * tail(seconds) + LONG_SHARE * tail(seconds / LONG_FACTOR);
 }
 
-auto latency_model::quantile(const base::route_id &route, double share,
-                             base::duration target) const -> base::duration
+auto latency_model::quantile(const base::route_id &route, double share, base::duration target) const
+        -> base::duration
 {
     const auto known = parametersOf(route, target);
     const double score = boost::math::quantile(standardNormal(), share);
@@ -80,8 +80,7 @@
     return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
 }
 
-auto latency_model::mean(const base::route_id &route, base::duration target) const
-        -> base::duration
+auto latency_model::mean(const base::route_id &route, base::duration target) const -> base::duration
 {
     const auto known = parametersOf(route, target);
     const double seconds = std::exp(known.logMean + known.logVariance / 2.0);
--- a/src/policy/internal/urgencyqueue.cpp
+++ b/src/policy/internal/urgencyqueue.cpp
@@ -35,7 +35,8 @@
         return occupy(upstream, request, now);
     }
     const auto wait = expectedWait(request, now);
-    if (wait > request.maxWait || m_waiting.size() >= usableSlots() * m_queuePerSlot) {
+    if (wait > request.maxWait
+        || m_waiting.size() >= static_cast<std::size_t>(usableSlots()) * m_queuePerSlot) {
         return base::fail(base::error_kind::QueueFull);
     }
     if (!canMeetDeadline(request, now + wait)) {
@@ -204,9 +205,10 @@
 
 auto urgency_queue::cancel(const base::attempt_id &attempt) -> bool
 {
-    const auto item = std::find_if(
-            m_waiting.begin(), m_waiting.end(),
-            [&](const waiting_request &waiting) { return waiting.request.attempt == attempt; });
+    const auto item =
+            std::find_if(m_waiting.begin(), m_waiting.end(), [&](const waiting_request &waiting) {
+                return waiting.request.attempt == attempt;
+            });
     if (item == m_waiting.end()) {
         return false;
     }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -63,8 +63,9 @@
     //! Chance of an answer of an upstream about which nothing is known: instances of a service fail
     //! about 30% of the time.
     static constexpr double PRIOR_HEALTH = 0.75;
-    //! A request that can't be repeated is refused rather than sent to an upstream below this health:
-    //! its caller can come back after a refusal, but not after an attempt without an answer.
+    //! A request that can't be repeated is refused rather than sent to an upstream below this
+    //! health: its caller can come back after a refusal, but not after an attempt without an
+    //! answer.
     static constexpr double MIN_HEALTH_ONCE = 0.32;
     //! Tries a second of one doubtful upstream, over all nodes.
     static constexpr double TRIALS_PER_SECOND = 0.6;
@@ -85,8 +86,8 @@
                 base::time_point now) -> base::result<placed_request>;
 
     //! Chooses an upstream that is to be tried beside the chosen one, or null: one that stopped
-    //! answering, or of which nothing was heard, may answer again. The nodes together try each of them
-    //! about every second or two, with idempotent requests that have short answers.
+    //! answering, or of which nothing was heard, may answer again. The nodes together try each of
+    //! them about every second or two, with idempotent requests that have short answers.
     //! Precondition: `choose` was called for the request.
     auto chooseTrial(const membership::view &view, const placement_request &request,
                      std::size_t entries, base::time_point now) -> const membership::node_entry *;
@@ -131,12 +132,11 @@
             -> place_state &;
     auto rateOf(const base::service_id &service, base::time_point now) -> double;
     [[nodiscard]] auto doubtfulPlaces(const membership::view &view,
-                                      const placement_request &request,
-                                      base::time_point now) const
+                                      const placement_request &request, base::time_point now) const
             -> std::vector<const membership::node_entry *>;
     [[nodiscard]] auto believedHealth(const membership::upstream_place &place,
-                                      const placement_request &request,
-                                      base::time_point now) const -> double;
+                                      const placement_request &request, base::time_point now) const
+            -> double;
     [[nodiscard]] auto valueOf(const membership::upstream_place &place,
                                const placement_request &request, base::time_point now) const
             -> double;
--- a/src/policy/slots.h
+++ b/src/policy/slots.h
@@ -77,8 +77,8 @@
     auto operator<=>(const service_load &) const = default;
 };
 
-//! Called exactly once for each request that had to wait and was not cancelled: with a grant, or with
-//! an error that means that the request was not run.
+//! Called exactly once for each request that had to wait and was not cancelled: with a grant, or
+//! with an error that means that the request was not run.
 using slot_resume_function = std::function<void(base::result<slot_grant>)>;
 
 } // namespace hawthornpick::policy
--- a/src/policy/tests/healthbelieftest.cpp
+++ b/src/policy/tests/healthbelieftest.cpp
@@ -101,8 +101,7 @@
 
 } // namespace
 
-TEST_GROUP(health_belief)
-{};
+TEST_GROUP(health_belief){};
 
 // Guards against finding a hanging upstream late: the target is one second after the usual p99 of
 // the service, which is 0.77 s for this work.
--- a/src/policy/tests/placementtest.cpp
+++ b/src/policy/tests/placementtest.cpp
@@ -42,12 +42,12 @@
 TEST_GROUP(placement)
 {
     base::time_point m_now{std::chrono::seconds(100)};
-    placement m_placement{{nodeOf(0), base::region_id("near"), base::failure_domain_id("near-a")}, 1};
-    membership::view m_view{1,
-                            {entryOf(0, "near"), entryOf(1, "near"), entryOf(2, "near"),
-                             entryOf(3, "far")}};
+    placement m_placement{{nodeOf(0), base::region_id("near"), base::failure_domain_id("near-a")},
+                          1};
+    membership::view m_view{
+            1, {entryOf(0, "near"), entryOf(1, "near"), entryOf(2, "near"), entryOf(3, "far")}};
 
-    auto request(bool idempotent) const -> policy::placement_request
+    auto request(bool idempotent) const->policy::placement_request
     {
         policy::placement_request wanted;
         wanted.service = SERVICE;
@@ -59,13 +59,13 @@
         return wanted;
     }
 
-    auto report(int node, std::uint32_t busy, double health) -> void
+    auto report(int node, std::uint32_t busy, double health)->void
     {
         m_placement.onLoad(nodeOf(node), SERVICE, loadOf(busy, health), m_now);
     }
 
     //! Counts where requests that end at once are placed.
-    auto place(int count, bool idempotent) -> std::map<base::node_id, int>
+    auto place(int count, bool idempotent)->std::map<base::node_id, int>
     {
         std::map<base::node_id, int> placed;
         for (int i = 0; i < count; ++i) {
--- a/src/policy/tests/repeatbudgettest.cpp
+++ b/src/policy/tests/repeatbudgettest.cpp
@@ -33,8 +33,7 @@
 
 } // namespace
 
-TEST_GROUP(repeat_budget)
-{};
+TEST_GROUP(repeat_budget){};
 
 // Guards against repeats that exceed the fleet's limit in some window while each node keeps to its
 // part: 25 nodes, bursts of requests, and as many repeats as the budget gives. The limit counts the
@@ -61,10 +60,10 @@
             }
             forget(requests, now - WINDOW * 2);
             forget(repeats, now - WINDOW);
-            const auto most = std::max({countBetween(requests, now - WINDOW, now),
-                                        countBetween(requests, now - WINDOW * 2, now - WINDOW),
-                                        countBetween(requests, now - WINDOW * 3 / 2,
-                                                     now - WINDOW / 2)});
+            const auto most =
+                    std::max({countBetween(requests, now - WINDOW, now),
+                              countBetween(requests, now - WINDOW * 2, now - WINDOW),
+                              countBetween(requests, now - WINDOW * 3 / 2, now - WINDOW / 2)});
             CHECK(static_cast<double>(repeats.size()) <= SHARE * most + SLACK);
         }
     }
--- a/src/policy/tests/urgencyqueuetest.cpp
+++ b/src/policy/tests/urgencyqueuetest.cpp
@@ -159,7 +159,7 @@
         m_queue.setUpstream(UPSTREAM, {SLOTS, SLOTS, false, false}, m_now);
     }
 
-    auto fill(milliseconds work) -> std::vector<slot_grant>
+    auto fill(milliseconds work)->std::vector<slot_grant>
     {
         std::vector<slot_grant> grants;
         for (std::uint32_t i = 0; i < SLOTS; ++i) {
@@ -204,8 +204,8 @@
     }
     m_now += milliseconds(1000);
     fill(milliseconds(1000));
-    const auto request = requestOf(m_random, m_now, milliseconds(1000), milliseconds(300),
-                                   milliseconds(500));
+    const auto request =
+            requestOf(m_random, m_now, milliseconds(1000), milliseconds(300), milliseconds(500));
     const auto entered = m_queue.enter(request, m_now, [](auto) {});
     CHECK(!entered);
     CHECK(entered.error().kind == base::error_kind::Overloaded);
@@ -220,8 +220,8 @@
     }
     m_now += milliseconds(500);
     fill(milliseconds(500));
-    auto request = requestOf(m_random, m_now, milliseconds(100), milliseconds(800),
-                             milliseconds(2000));
+    auto request =
+            requestOf(m_random, m_now, milliseconds(100), milliseconds(800), milliseconds(2000));
     request.maxWait = milliseconds(5);
     const auto entered = m_queue.enter(request, m_now, [](auto) {});
     CHECK(!entered);
@@ -260,10 +260,9 @@
         int entered = 0;
         for (int i = 0; i < 2000; ++i) {
             now += milliseconds(random.below(20));
-            const auto request =
-                    requestOf(random, now, milliseconds(50 + random.below(400)),
-                              milliseconds(100 + random.below(800)),
-                              milliseconds(300 + random.below(2000)));
+            const auto request = requestOf(random, now, milliseconds(50 + random.below(400)),
+                                           milliseconds(100 + random.below(800)),
+                                           milliseconds(300 + random.below(2000)));
             const auto answer = queue.enter(request, now, [&](auto granted) {
                 ++ended;
                 if (granted) {
--- a/src/policy/urgencyqueue.h
+++ b/src/policy/urgencyqueue.h
@@ -72,8 +72,7 @@
 
     [[nodiscard]] auto refusalOf(const slot_request &request, base::time_point now) const
             -> std::optional<base::error_kind>;
-    auto freeUpstream(const slot_request &request, base::time_point now)
-            -> upstream_map::iterator;
+    auto freeUpstream(const slot_request &request, base::time_point now) -> upstream_map::iterator;
     auto occupy(upstream_map::iterator upstream, const slot_request &request, base::time_point now)
             -> slot_grant;
     [[nodiscard]] auto urgencyOf(const slot_request &request, base::time_point now) const
--- a/src/quorum/internal/messages.cpp
+++ b/src/quorum/internal/messages.cpp
@@ -263,8 +263,7 @@
         return requestOf(in->ask);
     }
     if (in->__isset.answer) {
-        return operator_answer{static_cast<std::uint64_t>(in->answer.number),
-                               answerOf(in->answer)};
+        return operator_answer{static_cast<std::uint64_t>(in->answer.number), answerOf(in->answer)};
     }
     return std::nullopt;
 }
--- a/src/quorum/internal/quorumnode.cpp
+++ b/src/quorum/internal/quorumnode.cpp
@@ -290,8 +290,7 @@
 };
 
 quorum_node::quorum_node(quorum_settings settings, edit_function edit, std::uint64_t seed,
-                         post_function post,
-                         std::function<void(const value_pointer &)> onCommitted)
+                         post_function post, std::function<void(const value_pointer &)> onCommitted)
     : m_state(std::make_shared<state>(std::move(settings), std::move(edit), seed, std::move(post),
                                       std::move(onCommitted)))
 {
@@ -300,8 +299,8 @@
 
 quorum_node::~quorum_node() = default;
 
-auto quorum_node::receive(const base::node_id &from, std::string_view payload,
-                          base::time_point now) -> messages
+auto quorum_node::receive(const base::node_id &from, std::string_view payload, base::time_point now)
+        -> messages
 {
     return m_state->receive(from, payload, now);
 }
--- a/src/quorum/internal/replica.cpp
+++ b/src/quorum/internal/replica.cpp
@@ -104,7 +104,8 @@
             m_out.push_back(std::move(item.message));
         }
     }
-    std::erase_if(m_held, [ticket](const held_message &item) { return item.needsTicket <= ticket; });
+    std::erase_if(m_held,
+                  [ticket](const held_message &item) { return item.needsTicket <= ticket; });
     if (m_role == replica_role::Candidate) {
         countVotes(now);
     }
@@ -309,9 +310,8 @@
                                                                       m_committed->content}));
         }
     }
-    std::erase_if(m_reads, [confirmed](const waiting_read &item) {
-        return item.round <= confirmed;
-    });
+    std::erase_if(m_reads,
+                  [confirmed](const waiting_read &item) { return item.round <= confirmed; });
 }
 
 // One value is under way at a time; what arrives meanwhile goes into the next one together.
--- a/src/quorum/internal/replicaelection.cpp
+++ b/src/quorum/internal/replicaelection.cpp
@@ -70,8 +70,7 @@
         delayElection(now);
     }
     const auto term = isGranted && request.isTrial ? request.term : m_state.term;
-    sendWhenDurable(request.candidate.node,
-                    vote_answer{term, self(), isGranted, request.isTrial});
+    sendWhenDurable(request.candidate.node, vote_answer{term, self(), isGranted, request.isTrial});
 }
 
 auto replica::handle(const vote_answer &answer, base::time_point now) -> void
@@ -144,10 +143,10 @@
     for (const auto &voter : m_state.value->voters) {
         const auto peer = m_progress.find(voter);
         heard += voter == self()
-                         || (peer != m_progress.end()
-                             && now - peer->second.heardAt < LONELY_LEADER_TIME)
-                 ? 1
-                 : 0;
+                                 || (peer != m_progress.end()
+                                     && now - peer->second.heardAt < LONELY_LEADER_TIME)
+                         ? 1
+                         : 0;
     }
     if (!isMajority(heard)) {
         becomeFollower(m_state.term, now);
--- a/src/quorum/internal/replicamembers.cpp
+++ b/src/quorum/internal/replicamembers.cpp
@@ -82,8 +82,8 @@
     if (!m_state.value->isVoter(request.newcomer)) {
         m_learners.insert(request.newcomer);
     }
-    auto &peer = m_progress.try_emplace(request.newcomer, progress{{}, {}, {}, now, 0})
-                         .first->second;
+    auto &peer =
+            m_progress.try_emplace(request.newcomer, progress{{}, {}, {}, now, 0}).first->second;
     peer.heardAt = now;
     sendAppend(request.newcomer, peer, now);
 }
--- a/src/quorum/internal/storageworker.cpp
+++ b/src/quorum/internal/storageworker.cpp
@@ -113,8 +113,8 @@
             return false;
         }
         const bool isWhole = isFresh || m_written > COMPACT_BYTES;
-        const auto done = isWhole ? m_storage->replace(toStored(job.state))
-                                  : m_storage->sync(itemsOf(job));
+        const auto done =
+                isWhole ? m_storage->replace(toStored(job.state)) : m_storage->sync(itemsOf(job));
         if (!done) {
             logFailure(done.error());
             m_storage.reset();
--- a/src/quorum/tests/quorumfleet.h
+++ b/src/quorum/tests/quorumfleet.h
@@ -51,7 +51,10 @@
     [[nodiscard]] auto leader() -> int;
     [[nodiscard]] auto accepted() const -> base::config_version { return m_accepted; }
     [[nodiscard]] auto acceptedCount() const -> int { return m_acceptedCount; }
-    [[nodiscard]] auto replica(int index) -> quorum::replica & { return *m_replicas.at(name(index)); }
+    [[nodiscard]] auto replica(int index) -> quorum::replica &
+    {
+        return *m_replicas.at(name(index));
+    }
     //! Changes sent so far.
     [[nodiscard]] auto changes() const -> const std::vector<quorum::config_change> &
     {
--- a/src/quorum/tests/replicafaultstest.cpp
+++ b/src/quorum/tests/replicafaultstest.cpp
@@ -80,12 +80,11 @@
 
 } // namespace
 
-TEST_GROUP(replica_faults)
-{};
+TEST_GROUP(replica_faults){};
 
-// Guards against losing or doubling an accepted change, going back, and stale confirmed reads, under
-// crashes, one-way cuts, pauses, slow disks, lost messages and one lost disk at a time. The checks
-// run after each event.
+// Guards against losing or doubling an accepted change, going back, and stale confirmed reads,
+// under crashes, one-way cuts, pauses, slow disks, lost messages and one lost disk at a time. The
+// checks run after each event.
 TEST(replica_faults, keepsAcceptedChangesUnderRandomFaults)
 {
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
--- a/src/quorum/tests/replicatest.cpp
+++ b/src/quorum/tests/replicatest.cpp
@@ -18,8 +18,7 @@
 
 } // namespace
 
-TEST_GROUP(replica)
-{};
+TEST_GROUP(replica){};
 
 // Guards against a group that never forms from the seeds, or leaves the other nodes out.
 TEST(replica, formsFromTheSeedsAndTakesInTheOthers)
@@ -60,7 +59,7 @@
     fleet.run(milliseconds(500));
     CHECK(one != two);
     CHECK_EQUAL(1, fleet.acceptedCount());
-    CHECK_EQUAL("a", fleet.replica(fleet.leader()).committed()->content);
+    STRCMP_EQUAL("a", fleet.replica(fleet.leader()).committed()->content.c_str());
 }
 
 // Guards against a machine that is gone for good leaving the group one loss weaker: the newcomer at
--- a/src/status/internal/statusserver.cpp
+++ b/src/status/internal/statusserver.cpp
@@ -6,9 +6,9 @@
 
 namespace hawthornpick::status {
 
-status_server::status_server(boost::asio::io_context &context,
-                                 const membership::endpoint &address, const base::metrics &metrics,
-                                 std::function<std::vector<readiness_check>()> readiness)
+status_server::status_server(boost::asio::io_context &context, const membership::endpoint &address,
+                             const base::metrics &metrics,
+                             std::function<std::vector<readiness_check>()> readiness)
     : m_metrics(metrics), m_readiness(std::move(readiness)),
       m_server(context, address, {},
                [this](webapi::request incoming) -> boost::asio::awaitable<webapi::response> {
--- a/src/status/statusserver.h
+++ b/src/status/statusserver.h
@@ -26,8 +26,8 @@
     //! `readiness` is called on the thread of `context` for each /readyz request.
     //! Throws boost::system::system_error if the address is in use.
     status_server(boost::asio::io_context &context, const membership::endpoint &address,
-                    const base::metrics &metrics,
-                    std::function<std::vector<readiness_check>()> readiness);
+                  const base::metrics &metrics,
+                  std::function<std::vector<readiness_check>()> readiness);
 
     //! Address in use. Thread safety: any thread.
     [[nodiscard]] auto address() const -> membership::endpoint { return m_server.address(); }
--- a/src/status/tests/statusservertest.cpp
+++ b/src/status/tests/statusservertest.cpp
@@ -11,12 +11,11 @@
     base::metrics m_metrics;
     std::atomic<bool> m_current{false};
     boost::asio::io_context m_context{1};
-    std::unique_ptr<status::status_server> m_server =
-            std::make_unique<status::status_server>(
-                    m_context, membership::endpoint{"127.0.0.1", 0}, m_metrics, [this] {
-                        return std::vector<status::readiness_check>{
-                                {"config_current", m_current.load()}, {"accepting", true}};
-                    });
+    std::unique_ptr<status::status_server> m_server = std::make_unique<status::status_server>(
+            m_context, membership::endpoint{"127.0.0.1", 0}, m_metrics, [this] {
+                return std::vector<status::readiness_check>{{"config_current", m_current.load()},
+                                                            {"accepting", true}};
+            });
     membership::endpoint m_address = m_server->address();
     std::thread m_thread{[this] {
         m_context.run();
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -18,8 +18,8 @@
     //! False if the entry node's check of key and route is enough, because nodes may serve with
     //! different versions for some seconds.
     bool checksKeys = true;
-    //! Sends an idempotent request again that was lost on a kept connection. False if the entry node
-    //! accounts for all repeats.
+    //! Sends an idempotent request again that was lost on a kept connection. False if the entry
+    //! node accounts for all repeats.
     bool repeatsLostRequests = true;
 
     auto operator<=>(const executor_rules &) const = default;
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -42,10 +42,9 @@
 auto observationOf(const attempt_request &request, const upstream_record &target)
         -> attempt_observation
 {
-    return {request.attempt,      target.entry.id,      target.entry.incarnation,
-            target.entry.service, request.organisation, request.route,
-            request.fingerprint,  request.idempotent,   base::clock::now(),
-            request.requestId};
+    return {request.attempt,      target.entry.id,  target.entry.incarnation, target.entry.service,
+            request.organisation, request.route,    request.fingerprint,      request.idempotent,
+            base::clock::now(),   request.requestId};
 }
 
 // A connection that the upstream closed while it was idle looks like one lost during the request.
@@ -152,8 +151,7 @@
 auto executor_state::check(const attempt_request &request) -> base::result<void>
 {
     const auto &hooks = m_dependencies.hooks;
-    if (request.nodeIncarnation != 0
-        && request.nodeIncarnation != m_dependencies.nodeIncarnation) {
+    if (request.nodeIncarnation != 0 && request.nodeIncarnation != m_dependencies.nodeIncarnation) {
         return base::fail(error_kind::IncarnationChanged);
     }
     if (hooks.isCurrent && !hooks.isCurrent()) {
@@ -219,12 +217,15 @@
     const auto *organisation = m_configuration.current()->organisationById(request.organisation);
     const auto weight = organisation == nullptr ? 1 : organisation->weight;
     const auto &expectedTime = m_dependencies.hooks.expectedTime;
-    const policy::slot_request wanted{
-            request.attempt,  request.organisation,
-            weight,           request.deadline,
-            request.idempotent, request.answerBy,
-            expectedTime ? expectedTime(request) : base::duration{},
-            request.priority, request.maxWait};
+    const policy::slot_request wanted{request.attempt,
+                                      request.organisation,
+                                      weight,
+                                      request.deadline,
+                                      request.idempotent,
+                                      request.answerBy,
+                                      expectedTime ? expectedTime(request) : base::duration{},
+                                      request.priority,
+                                      request.maxWait};
     const auto wait = std::make_shared<slot_wait>(m_context.get_executor());
     const auto entered = queue->enter(wanted, base::clock::now(), slot_wait::resumeFunction(wait));
     if (!entered) {
@@ -290,8 +291,8 @@
         upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
                                    service.timeout, source, sink, cancel);
         result = co_await exchange.run();
-        again = !fresh && mayRepeatOnFresh(result, request, (*connection)->reused,
-                                            m_dependencies.rules);
+        again = !fresh
+                && mayRepeatOnFresh(result, request, (*connection)->reused, m_dependencies.rules);
         fresh = true;
         if (result.reusable) {
             m_pool.giveBack(std::move(*connection));
--- a/src/upstream/internal/upstreamexchange.cpp
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -89,8 +89,8 @@
                                      const body_source &source, const answer_sink &sink,
                                      cancellation &cancel)
     : m_connection(connection), m_request(request), m_wire(wire), m_upstreamName(upstreamName),
-      m_timeout(timeout), m_source(source),
-      m_sink(sink), m_cancel(cancel), m_bodyDone(connection.socket.get_executor())
+      m_timeout(timeout), m_source(source), m_sink(sink), m_cancel(cancel),
+      m_bodyDone(connection.socket.get_executor())
 {}
 
 auto upstream_exchange::run() -> asio::awaitable<exchange_result>
@@ -320,8 +320,7 @@
 auto upstream_exchange::isRefusal() -> bool
 {
     const auto status = m_parser->get().result_int();
-    return status == 421
-           || (!m_wire.notRun.empty() && m_parser->get().count(m_wire.notRun) > 0);
+    return status == 421 || (!m_wire.notRun.empty() && m_parser->get().count(m_wire.notRun) > 0);
 }
 
 // Reads the head of the answer to this request and skips late answers to earlier ones.
@@ -364,8 +363,8 @@
     if (isRefusal()) {
         const bool isRead = co_await skipBody();
         if (isRead || !m_result.failure) {
-            m_result.failure =
-                    base::error{error_kind::UpstreamRefused, "the upstream did not run the request"};
+            m_result.failure = base::error{error_kind::UpstreamRefused,
+                                           "the upstream did not run the request"};
             m_result.refusedByUpstream = true;
         }
         co_return;
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -21,8 +21,7 @@
                                    const service_dependencies &dependencies)
     : m_contexts(std::move(contexts)),
       m_registry(dependencies.node, queueRule(dependencies.configuration),
-                 dependencies.onUpstreamsChanged, dependencies.announcementLife,
-                 dependencies.order)
+                 dependencies.onUpstreamsChanged, dependencies.announcementLife, dependencies.order)
 {
     if (!announceAddress.address.empty()) {
         m_announcements.emplace(*m_contexts.front(), announceAddress, m_registry);
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -37,7 +37,8 @@
 auto fromWire(const wire::load_report &load) -> policy::service_load
 {
     return {static_cast<std::uint32_t>(load.usable_slots),
-            static_cast<std::uint32_t>(load.busy_slots), static_cast<std::uint32_t>(load.waiting),
+            static_cast<std::uint32_t>(load.busy_slots),
+            static_cast<std::uint32_t>(load.waiting),
             std::chrono::microseconds(load.mean_service_us),
             static_cast<double>(load.health_percent) / PERCENT,
             static_cast<double>(load.acceptance_percent) / PERCENT};
@@ -117,7 +118,7 @@
     out.bodyComplete = in->body_complete;
     out.minHealth = static_cast<double>(in->min_health_percent) / PERCENT;
     out.answerBy = in->target_ms == UNLIMITED ? base::time_point::max()
-                                            : now + base::milliseconds(in->target_ms);
+                                              : now + base::milliseconds(in->target_ms);
     out.priority = static_cast<std::uint32_t>(in->priority);
     out.maxWait = in->max_wait_ms == UNLIMITED ? base::duration::max()
                                                : base::milliseconds(in->max_wait_ms);
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -165,8 +165,10 @@
     std::array<char *, 4> arguments{binary.data(), command.data(), argument.data(), nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
+    for (const int stream : {STDOUT_FILENO, STDERR_FILENO}) {
+        posix_spawn_file_actions_addopen(&actions, stream, log.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
     pid_t process = 0;
     const int failure =
             posix_spawn(&process, binary.c_str(), &actions, nullptr, arguments.data(), environ);
