Answer open requests before a stopping node ends

Change: 700 ms before the end all open requests get a final answer that promises nothing (502). Test: a caller of a hanging upstream is answered; without the change it gets no answer.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -33,6 +33,8 @@
 //! Time after a request to stop for which all requests are taken; later ones only if their deadline
 //! is before the end.
 constexpr base::milliseconds TAKE_ALL_TIME{2400};
+//! Time before the end of the process at which requests that are still open get a final answer.
+constexpr base::milliseconds LAST_ANSWER_TIME{700};
 //! Time before the end of the process that is kept for answers on their way.
 constexpr base::milliseconds STOP_RESERVE{600};
 //! Interval of the work that waits for nothing else: expiry of registrations and of waiting
@@ -146,6 +148,7 @@
             waitThen(LEAVE_NOTICE, [this, done] { waitForExecutor(done); });
             return;
         }
+        waitThen(m_settings.stopTime - LAST_ANSWER_TIME, [this] { m_callers->abandon(); });
         waitThen(CALLER_NOTICE,
                  [this, done] { m_callers->drain([this, done] { waitForExecutor(done); }); });
     }
--- a/src/caller/callerserver.h
+++ b/src/caller/callerserver.h
@@ -55,6 +55,10 @@
     //! Thread safety: any thread; only the first call has an effect.
     auto drain(std::function<void()> done) -> void;
 
+    //! Gives all requests that are under way their final answer, for the end of a shutdown.
+    //! Thread safety: any thread.
+    auto abandon() -> void;
+
 private:
     std::shared_ptr<caller_server_state> m_state;
 };
--- a/src/caller/internal/callerserver.cpp
+++ b/src/caller/internal/callerserver.cpp
@@ -78,6 +78,13 @@
                    });
     }
 
+    auto abandon() -> void
+    {
+        for (auto &part : m_parts) {
+            asio::post(part.context, [group = part.group] { group->abandon(); });
+        }
+    }
+
 private:
     static auto accept(std::shared_ptr<caller_server_state> self) -> asio::awaitable<void>
     {
@@ -126,7 +133,7 @@
                                    m_dependencies.wire},
                 base::systemSeed());
         auto group = std::make_shared<connection_group>(
-                connection_group{*owner, [this] { onClosed(); }, {}, {}});
+                connection_group{*owner, [this] { onClosed(); }, {}, {}, {}});
         m_parts.push_back({context, std::move(remote), std::move(owner), std::move(group)});
     }
 
@@ -210,6 +217,11 @@
     return m_state->connectionCount();
 }
 
+auto caller_server::abandon() -> void
+{
+    m_state->abandon();
+}
+
 auto caller_server::drain(std::function<void()> done) -> void
 {
     m_state->requestDrain(std::move(done));
--- a/src/caller/internal/connection.cpp
+++ b/src/caller/internal/connection.cpp
@@ -150,7 +150,9 @@
             }
         });
         entry_request request(m_group.owner, *m_input, parser, *head, writer, std::move(id));
+        m_group.active.insert(&request);
         const bool reusable = co_await request.run();
+        m_group.active.erase(&request);
         m_input->resume();
         co_return reusable &&writer.keepsAlive();
     }
--- a/src/caller/internal/connection.h
+++ b/src/caller/internal/connection.h
@@ -19,6 +19,8 @@
     std::optional<base::time_point> drainStart;
     //! Connections that wait for a request.
     std::unordered_set<caller_input *> idle;
+    //! Requests that are not answered yet.
+    std::unordered_set<entry_request *> active;
 
     //! Begins the shutdown: answers close their connections, and idle ones end soon.
     auto drain(base::time_point now) -> void
@@ -28,6 +30,14 @@
             input->interrupt();
         }
     }
+
+    //! Gives all requests that are under way their final answer.
+    auto abandon() -> void
+    {
+        for (auto *request : std::unordered_set(active)) {
+            request->abandon();
+        }
+    }
 };
 
 //! Time limits of a caller connection.
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -65,6 +65,9 @@
     //! Runs the request and writes the answer. Returns true if the connection can be used again.
     auto run() -> boost::asio::awaitable<bool>;
 
+    //! Ends the request with a final answer because the node is about to stop.
+    auto abandon() -> void { m_cancel.request(base::error_kind::ShuttingDown); }
+
 private:
     using refusal_or_done = std::optional<refusal>;
     template <typename T>
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -137,7 +137,9 @@
     while (true) {
         const auto ended = co_await nextAttempt();
         if (m_cancel.reason() && m_attempts.running() == 0) {
-            co_return refusal{{*m_cancel.reason(), {}}, {}};
+            // An attempt that was cancelled may have been started before.
+            m_mayHaveRun = true;
+            co_return finalRefusal({*m_cancel.reason(), "cancelled"});
         }
         if (!ended) {
             co_await launchParallel();
--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -56,6 +56,25 @@
     CHECK_EQUAL(1, executingNode.endings(upstream::attempt_ending::Answered));
 }
 
+// Guards against a caller that gets no answer at all when the node stops while its request is under
+// way: it is told that the outcome is unknown.
+TEST(path_test, abandonedRequestsGetAFinalAnswer)
+{
+    scripted_upstream upstream([](raw_client &peer, const std::string &, int) {
+        peer.readUntil("never");
+        return false;
+    });
+    test_node node;
+    node.announce("u1", upstream.port());
+    raw_client client(node.port());
+    client.send("GET /open/a HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(waitUntil([&upstream] { return !upstream.heads().empty(); }));
+    node.server().abandon();
+    const auto answer = client.readAnswer();
+    STRCMP_CONTAINS("HTTP/1.1 502 ", answer.c_str());
+    STRCMP_CONTAINS("X-Hawthornpick-Outcome: unknown", answer.c_str());
+}
+
 // Guards against bodies that are cut, reordered or held back when they exceed the buffers and the
 // window of the link, in both directions at the same time.
 TEST(path_test, longBodiesStreamBothWaysOverTheLink)
