--- a/src/app/internal/commandline.cpp
+++ b/src/app/internal/commandline.cpp
@@ -12,6 +12,7 @@
 #include <string_view>
 
 ABSL_FLAG(std::string, settings, "", "settings file of the process");
+ABSL_FLAG(std::string, mesh_settings, "", "settings file of a mesh process");
 ABSL_FLAG(std::string, folder, "", "folder with the declarative *.ini files");
 ABSL_FLAG(std::string, operator_address, "127.0.0.1:7002", "operator address of any node");
 ABSL_FLAG(std::string, operator_key_file, "", "file with the operator key");
@@ -53,7 +54,10 @@
              [makeAdapter](const command_options &options) {
                  return runMesh(options, makeAdapter());
              }},
-            {"check", "validate a settings file or a folder", {"settings", "folder"}, runCheck},
+            {"check",
+             "validate a settings file or a folder",
+             {"settings", "mesh_settings", "folder"},
+             runCheck},
             {"apply", "apply a folder of files as one set",
              withOperator({"folder", "change_id", "base_version"}), runApply},
             {"change", "tell the result of a change", withOperator({"change_id"}), runChange},
@@ -116,6 +120,7 @@
 {
     command_options options;
     options.settingsFile = absl::GetFlag(FLAGS_settings);
+    options.meshSettingsFile = absl::GetFlag(FLAGS_mesh_settings);
     options.folder = absl::GetFlag(FLAGS_folder);
     options.operatorAddress = absl::GetFlag(FLAGS_operator_address);
     options.operatorKeyFile = absl::GetFlag(FLAGS_operator_key_file);
--- a/src/app/internal/commands.h
+++ b/src/app/internal/commands.h
@@ -13,6 +13,7 @@
 struct command_options
 {
     std::string settingsFile;
+    std::string meshSettingsFile;
     std::string folder;
     std::string operatorAddress;
     std::string operatorKeyFile;
@@ -47,5 +48,6 @@
 
 //! Reads and parses a settings file and prints its errors.
 auto loadSettings(const std::string &path) -> std::optional<config::settings>;
+auto loadMeshSettings(const std::string &path) -> std::optional<config::mesh_settings>;
 
 } // namespace hawthornpick::app
--- a/src/app/internal/decisionlog.cpp
+++ b/src/app/internal/decisionlog.cpp
@@ -5,13 +5,11 @@
 namespace {
 
 constexpr std::array<std::string_view, LOG_EVENT_COUNT> NAMES{
-        "request_failed",  "request_served",   "attempt_placed", "attempt_failed",
-        "upstream_health", "upstream_changed", "path_failed"};
+        "request_failed", "request_served", "attempt_placed", "attempt_failed", "attempt_ended"};
 
 auto isFailure(log_event event) -> bool
 {
-    return event == log_event::RequestFailed || event == log_event::AttemptFailed
-           || event == log_event::PathFailed;
+    return event == log_event::RequestFailed || event == log_event::AttemptFailed;
 }
 
 auto writeLine(log_event event, std::initializer_list<base::log_field> fields) -> void
--- a/src/app/internal/decisionlog.h
+++ b/src/app/internal/decisionlog.h
@@ -17,12 +17,11 @@
     RequestServed,
     AttemptPlaced,
     AttemptFailed,
-    UpstreamHealth,
-    UpstreamChanged,
-    PathFailed,
+    AttemptEnded,
 };
 
-inline constexpr std::size_t LOG_EVENT_COUNT = static_cast<std::size_t>(log_event::PathFailed) + 1;
+inline constexpr std::size_t LOG_EVENT_COUNT =
+        static_cast<std::size_t>(log_event::AttemptEnded) + 1;
 
 //! Name of the event in the member `event` of its lines. Thread safety: pure.
 auto eventName(log_event event) -> std::string_view;
--- a/src/app/internal/localcommands.cpp
+++ b/src/app/internal/localcommands.cpp
@@ -66,13 +66,17 @@
 
 auto runCheck(const command_options &options) -> exit_code
 {
-    if (options.settingsFile.empty() && options.folder.empty()) {
-        std::cerr << "hawthornpick check: --settings or --folder is needed\n";
+    if (options.settingsFile.empty() && options.meshSettingsFile.empty()
+        && options.folder.empty()) {
+        std::cerr << "hawthornpick check: --settings, --mesh_settings or --folder is needed\n";
         return exit_code::Usage;
     }
     if (!options.settingsFile.empty() && !loadSettings(options.settingsFile)) {
         return exit_code::InvalidInput;
     }
+    if (!options.meshSettingsFile.empty() && !loadMeshSettings(options.meshSettingsFile)) {
+        return exit_code::InvalidInput;
+    }
     return options.folder.empty() ? exit_code::Success : checkFolder(options.folder);
 }
 
--- a/src/app/internal/meshcommand.cpp
+++ b/src/app/internal/meshcommand.cpp
@@ -21,23 +21,6 @@
 //! The settings file may change without a signal.
 constexpr base::milliseconds SETTINGS_POLL_INTERVAL{1000};
 
-auto loadMeshSettings(const std::string &path) -> std::optional<config::mesh_settings>
-{
-    const auto text = readFile(path);
-    if (!text) {
-        std::cerr << path << ": file can't be read\n";
-        return std::nullopt;
-    }
-    auto parsed = config::parseMeshSettings(path, *text);
-    if (!parsed) {
-        for (const auto &item : parsed.error()) {
-            std::cerr << config::toString(item) << "\n";
-        }
-        return std::nullopt;
-    }
-    return *std::move(parsed);
-}
-
 //! Runs a node until it is asked to stop, and reads its settings again when they change.
 class mesh_process
 {
@@ -151,6 +134,23 @@
 
 } // namespace
 
+auto loadMeshSettings(const std::string &path) -> std::optional<config::mesh_settings>
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": file can't be read\n";
+        return std::nullopt;
+    }
+    auto parsed = config::parseMeshSettings(path, *text);
+    if (!parsed) {
+        for (const auto &item : parsed.error()) {
+            std::cerr << config::toString(item) << "\n";
+        }
+        return std::nullopt;
+    }
+    return *std::move(parsed);
+}
+
 auto runMesh(const command_options &options, mesh_adapter adapter) -> exit_code
 {
     const auto settings = loadMeshSettings(options.settingsFile);
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -384,7 +384,7 @@
                     const upstream::attempt_finish &finish) -> void
     {
         const auto now = base::clock::now();
-        m_log.write(log_event::UpstreamHealth, now,
+        m_log.write(log_event::AttemptEnded, now,
                     {{"request", observation.requestId},
                      {"route", observation.route.str()},
                      {"upstream", observation.upstream.str()},
--- a/src/app/tests/decisionlogtest.cpp
+++ b/src/app/tests/decisionlogtest.cpp
@@ -1,7 +1,10 @@
 #include "app/internal/decisionlog.h"
 
 // Before CppUTest, which redefines `new`.
+#include <fstream>
+#include <iterator>
 #include <map>
+#include <string>
 
 #include <CppUTest/TestHarness.h>
 
@@ -44,3 +47,14 @@
     }
     CHECK_EQUAL(app::LOG_EVENT_COUNT, names.size());
 }
+
+// Guards against a page for those on call that lacks an event.
+TEST(decision_log, documentationNamesEachEvent)
+{
+    std::ifstream page(HAWTHORNPICK_SOURCE_DIR "/docs/LOGS.md");
+    const std::string text{std::istreambuf_iterator<char>(page), {}};
+    for (std::size_t i = 0; i < app::LOG_EVENT_COUNT; ++i) {
+        const auto name = std::string(app::eventName(static_cast<log_event>(i)));
+        CHECK_TEXT(text.find("`" + name + "`") != std::string::npos, name.c_str());
+    }
+}
