--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -321,7 +321,7 @@
         m_log.write(log_event::AttemptPlaced, base::clock::now(),
                     {{"request", request.requestId},
                      {"service", request.service.id.str()},
-                     {"node", node->node->id.str()},
+                     {"target", node->node->id.str()},
                      {"health", node->health},
                      {"placement", request.placements}});
         const double margin = request.idempotent ? HEALTH_MARGIN_REPEATABLE : HEALTH_MARGIN_ONCE;
@@ -367,7 +367,7 @@
             m_log.write(log_event::AttemptFailed, now,
                         {{"request", report.requestId},
                          {"service", report.service.str()},
-                         {"node", report.chosen.id.str()},
+                         {"target", report.chosen.id.str()},
                          {"reason", base::answerFor(*report.failure).reason},
                          {"ms", base::toMilliseconds(report.elapsed)},
                          {"health", report.load ? report.load->health : -1.0},
