Give the links of a mesh shorter times

Change: the times of links are a value; the mesh pings every 100 ms, confirms a link that was quiet for 150 ms, and gives a connection 250 ms. Dead after 700 ms, because answers on paths that lose packets come late.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -44,6 +44,11 @@
 constexpr int MISSED_HEARTBEATS = 8;
 //! Longest answer that is kept until it is complete; longer ones are passed on as they arrive.
 constexpr std::size_t COLLECTED_ANSWER_BYTES = 1024UL * 1024;
+//! Paths between nodes are cut for seconds. A request that can't be repeated should not be sent on
+//! one, and no request should wait long for a connection; answers on a path that loses packets may
+//! come late.
+constexpr peer::link_timing LINK_TIMING{base::milliseconds(100), base::milliseconds(700),
+                                        base::milliseconds(250), base::milliseconds(150)};
 constexpr unsigned FIRST_SERVER_ERROR = 500;
 //! Part of the target latency by which a wait may be longer than the entry node assumed.
 constexpr int WAIT_MARGIN_DIVISOR = 8;
@@ -103,7 +108,8 @@
                   },
                   [this](const base::node_id &from, base::channel kind, std::string payload) {
                       m_control.runtime().deliver(from, kind, std::move(payload));
-                  }),
+                  },
+                  LINK_TIMING),
           m_acceptor(std::make_shared<peer_acceptor>(
                   std::vector{&context}, std::vector{&m_links},
                   membership::endpoint{settings.address, settings.peerPort})),
--- a/src/peer/internal/connection.cpp
+++ b/src/peer/internal/connection.cpp
@@ -65,9 +65,9 @@
     writable.cancel();
 }
 
-connection::connection(asio::ip::tcp::socket socket, const link_identity &identity, bool isAccepted,
-                       connection_events events)
-    : m_socket(std::move(socket)), m_identity(identity), m_isAccepted(isAccepted),
+connection::connection(asio::ip::tcp::socket socket, const link_identity &identity,
+                       const link_timing &timing, bool isAccepted, connection_events events)
+    : m_socket(std::move(socket)), m_identity(identity), m_timing(timing), m_isAccepted(isAccepted),
       m_events(std::move(events)),
       m_hasRoom(m_socket.get_executor(), asio::steady_timer::time_point::max()),
       m_pongArrived(m_socket.get_executor(), asio::steady_timer::time_point::max()),
@@ -215,7 +215,7 @@
 auto connection::confirm() -> asio::awaitable<bool>
 {
     const auto self = shared_from_this();
-    if (!m_isOpen || base::clock::now() - m_lastHeard < 2 * PING_INTERVAL) {
+    if (!m_isOpen || base::clock::now() - m_lastHeard < m_timing.quietTime) {
         co_return m_isOpen;
     }
     const auto number = m_openPings.empty() ? sendPing() : m_lastPing;
@@ -539,7 +539,7 @@
 auto connection::maintain(base::time_point now, bool wasDelayed) -> void
 {
     if (!m_isEstablished) {
-        if (now - m_createdAt >= CONNECT_TIMEOUT) {
+        if (now - m_createdAt >= m_timing.connectTimeout) {
             close("handshake timed out");
         }
         return;
@@ -550,7 +550,7 @@
             sentAt = now;
         }
     }
-    if (!m_openPings.empty() && now - m_openPings.front().second >= DEAD_LINK_TIME) {
+    if (!m_openPings.empty() && now - m_openPings.front().second >= m_timing.deadTime) {
         close("no answer to pings");
         return;
     }
--- a/src/peer/internal/connection.h
+++ b/src/peer/internal/connection.h
@@ -27,11 +27,6 @@
 inline constexpr std::size_t MAX_STREAMS_PER_LINK = 4096;
 //! Largest control message; a snapshot of a large configuration fits.
 inline constexpr std::size_t MAX_MESSAGE_BYTES = 32UL * 1024 * 1024;
-//! Interval of pings on links in use.
-inline constexpr base::milliseconds PING_INTERVAL{250};
-//! A ping without an answer for this long shows that the link is dead.
-inline constexpr base::milliseconds DEAD_LINK_TIME{1000};
-inline constexpr base::milliseconds CONNECT_TIMEOUT{1000};
 //! Links without streams and messages are closed by the connecting side after this time.
 inline constexpr base::milliseconds IDLE_TIME{60000};
 //! The accepting side waits longer, so it never closes a link on which a stream is being opened.
@@ -81,8 +76,8 @@
 class connection : public std::enable_shared_from_this<connection>
 {
 public:
-    connection(boost::asio::ip::tcp::socket socket, const link_identity &identity, bool isAccepted,
-               connection_events events);
+    connection(boost::asio::ip::tcp::socket socket, const link_identity &identity,
+               const link_timing &timing, bool isAccepted, connection_events events);
 
     //! Connects the socket. Errors: `PeerUnreachable`; the connection is closed then.
     auto connect(boost::asio::ip::tcp::endpoint remote)
@@ -96,8 +91,8 @@
     //! Reads frames until the connection is closed. Precondition: the handshake succeeded.
     auto readFrames() -> boost::asio::awaitable<void>;
 
-    //! Waits for a round trip if nothing was heard for two ping intervals, so that nothing
-    //! is sent on a link that died while idle. Returns false if the link is closed.
+    //! Waits for a round trip if the link was quiet for a while, so that nothing is sent on a link
+    //! that died meanwhile. Returns false if the link is closed.
     auto confirm() -> boost::asio::awaitable<bool>;
 
     //! Sends frames of a stream; see `stream`.
@@ -114,7 +109,7 @@
     //! Sends a message in fragments; dropped if the link's queue is full.
     auto sendMessage(base::channel kind, const std::string &payload) -> bool;
 
-    //! Sends pings and closes a dead, idle or stuck link. Called every `PING_INTERVAL`;
+    //! Sends pings and closes a dead, idle or stuck link. Called every ping interval;
     //! `wasDelayed` is true if this process did not run for a while.
     auto maintain(base::time_point now, bool wasDelayed) -> void;
 
@@ -147,6 +142,7 @@
 
     boost::asio::ip::tcp::socket m_socket;
     const link_identity &m_identity;
+    const link_timing m_timing;
     bool m_isAccepted;
     connection_events m_events;
     bool m_isOpen = true;
--- a/src/peer/internal/link.cpp
+++ b/src/peer/internal/link.cpp
@@ -21,8 +21,9 @@
 
 //! Messages that wait for a link to one node; more are dropped, because senders repeat them.
 constexpr std::size_t MAX_WAITING_MESSAGES = 64;
-//! A longer gap between two maintenance runs shows that this process did not run.
-constexpr base::milliseconds DELAY_LIMIT = 2 * PING_INTERVAL;
+//! A gap of more than this many intervals between two maintenance runs shows that this process did
+//! not run.
+constexpr int DELAY_INTERVALS = 2;
 
 using connection_pointer = std::shared_ptr<connection>;
 using link_key = std::pair<base::node_id, membership::endpoint>;
@@ -57,9 +58,9 @@
 {
 public:
     link_pool_state(asio::io_context &context, link_identity identity, stream_handler onStream,
-                    message_handler onMessage)
-        : m_context(context), m_identity(std::move(identity)), m_onStream(std::move(onStream)),
-          m_onMessage(std::move(onMessage)), m_maintenance(context)
+                    message_handler onMessage, link_timing timing)
+        : m_context(context), m_identity(std::move(identity)), m_timing(timing),
+          m_onStream(std::move(onStream)), m_onMessage(std::move(onMessage)), m_maintenance(context)
     {}
 
     auto open(base::node_id node, membership::endpoint address, base::incarnation expected)
@@ -248,7 +249,7 @@
             return !pool || pool->m_isDraining;
         };
         auto link = std::make_shared<connection>(
-                std::move(socket), m_identity, isAccepted,
+                std::move(socket), m_identity, m_timing, isAccepted,
                 connection_events{m_onStream, m_onMessage, onClosed, isDraining});
         m_links.insert(link);
         startMaintenance();
@@ -271,7 +272,7 @@
         }
         m_isMaintaining = true;
         m_lastMaintenance = base::clock::now();
-        m_maintenance.expires_after(PING_INTERVAL);
+        m_maintenance.expires_after(m_timing.pingInterval);
         m_maintenance.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
             const auto pool = weak.lock();
             if (pool && !error) {
@@ -283,7 +284,7 @@
     auto maintain() -> void
     {
         const auto now = base::clock::now();
-        const bool wasDelayed = now - m_lastMaintenance > DELAY_LIMIT;
+        const bool wasDelayed = now - m_lastMaintenance > DELAY_INTERVALS * m_timing.pingInterval;
         for (const auto &link : std::set(m_links)) {
             link->maintain(now, wasDelayed);
         }
@@ -295,6 +296,7 @@
 
     asio::io_context &m_context;
     link_identity m_identity;
+    link_timing m_timing;
     stream_handler m_onStream;
     message_handler m_onMessage;
     asio::steady_timer m_maintenance;
@@ -346,9 +348,9 @@
 }
 
 link_pool::link_pool(asio::io_context &context, link_identity identity, stream_handler onStream,
-                     message_handler onMessage)
+                     message_handler onMessage, link_timing timing)
     : m_state(std::make_shared<link_pool_state>(context, std::move(identity), std::move(onStream),
-                                                std::move(onMessage)))
+                                                std::move(onMessage), timing))
 {}
 
 link_pool::~link_pool()
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -3,6 +3,7 @@
 #include "base/errorkind.h"
 #include "base/ids.h"
 #include "base/message.h"
+#include "base/time.h"
 #include "membership/view.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -92,6 +93,21 @@
     std::string localAddress;
 };
 
+//! Times of the links of a pool.
+struct link_timing
+{
+    //! Interval of pings on links in use.
+    base::milliseconds pingInterval{250};
+    //! A ping without an answer for this long shows that the link is dead.
+    base::milliseconds deadTime{1000};
+    base::milliseconds connectTimeout{1000};
+    //! A link of which nothing was heard for this long is confirmed by a round trip before it is
+    //! used.
+    base::milliseconds quietTime{500};
+
+    auto operator<=>(const link_timing &) const = default;
+};
+
 using stream_handler = std::function<void(stream_pointer incoming)>;
 using message_handler =
         std::function<void(const base::node_id &from, base::channel kind, std::string payload)>;
@@ -105,7 +121,7 @@
 public:
     //! Precondition: `context` is run by one thread and outlives the pool.
     link_pool(boost::asio::io_context &context, link_identity identity, stream_handler onStream,
-              message_handler onMessage);
+              message_handler onMessage, link_timing timing = {});
     ~link_pool();
     link_pool(const link_pool &) = delete;
     auto operator=(const link_pool &) -> link_pool & = delete;
--- a/src/peer/tests/linkfaulttest.cpp
+++ b/src/peer/tests/linkfaulttest.cpp
@@ -171,14 +171,15 @@
                                    }};
     asio::ip::tcp::socket socket(context);
     socket.connect({asio::ip::address_v4::loopback(), server.address().port});
-    const auto link = std::make_shared<connection>(std::move(socket), identity, false, events);
+    const auto link =
+            std::make_shared<connection>(std::move(socket), identity, link_timing{}, false, events);
     CHECK_TRUE(await(context, link->handshakeAsConnecting()).has_value());
-    link->maintain(base::clock::now() + IDLE_TIME - PING_INTERVAL, false);
+    link->maintain(base::clock::now() + IDLE_TIME - link_timing{}.pingInterval, false);
     CHECK_TRUE(link->isOpen());
     link->maintain(base::clock::now() + IDLE_TIME, false);
     CHECK_FALSE(link->isOpen());
     CHECK_EQUAL(1, closed);
-    CHECK_TRUE(ACCEPTED_IDLE_TIME > IDLE_TIME + DEAD_LINK_TIME);
+    CHECK_TRUE(ACCEPTED_IDLE_TIME > IDLE_TIME + link_timing{}.deadTime);
 }
 
 // Guards against a link with a process that speaks another protocol or none, and against one that
@@ -246,7 +247,7 @@
     echoOn(server);
     auto proxy = std::make_unique<tcp_proxy>(context, server.address().port);
     CHECK_TRUE(openAt(client, proxy->port()).has_value());
-    asio::steady_timer idle(context, 3 * PING_INTERVAL);
+    asio::steady_timer idle(context, 3 * link_timing{}.pingInterval);
     bool hasPassed = false;
     idle.async_wait([&](const boost::system::error_code &) { hasPassed = true; });
     CHECK_TRUE(runUntil(context, [&] { return hasPassed; }));
