--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -56,6 +56,41 @@
     CHECK_EQUAL(1, executingNode.endings(upstream::attempt_ending::Answered));
 }
 
+// Guards against a caller that waits for an upstream that hangs while another one is free: a late
+// idempotent request is sent to a second node, whose answer counts, and the first one is cancelled.
+TEST(path_test, lateRequestsAreRepeatedBesideTheFirstAttempt)
+{
+    scripted_upstream hanging([](raw_client &peer, const std::string &, int) {
+        peer.readUntil("never");
+        return false;
+    });
+    scripted_upstream sound(answerWith("second"));
+    test_node first("n2");
+    test_node second("n3");
+    first.announce("u1", hanging.port());
+    second.announce("u1", sound.port());
+    const auto adjust = [&](caller::entry_hooks &hooks) {
+        hooks.rules = {true, 6, false, 64UL * 1024, true};
+        hooks.repeatAfter = [](const auto &, const auto &) -> base::duration {
+            return base::milliseconds(30);
+        };
+        hooks.select = [&](const caller::selection_request &request) {
+            const auto &chosen = request.excluded.empty() ? first : second;
+            const auto node = chosen.entry();
+            return base::result<caller::chosen_node>(
+                    caller::chosen_node{node.id, 0, node.peerAddress});
+        };
+    };
+    test_node entryNode("n1", testConfiguration(), 100, adjust);
+    raw_client client(entryNode.port());
+    client.send("GET /open/a HTTP/1.1\r\nHost: x\r\n\r\n");
+    const auto answer = client.readAnswer();
+    STRCMP_CONTAINS("HTTP/1.1 200 OK\r\n", answer.c_str());
+    STRCMP_CONTAINS("\r\n\r\nsecond", answer.c_str());
+    CHECK(waitUntil([&first] { return first.endings(upstream::attempt_ending::Cancelled) == 1; }));
+    CHECK_EQUAL(1, static_cast<int>(sound.heads().size()));
+}
+
 // Guards against a caller that gets no answer at all when the node stops while its request is under
 // way: it is told that the outcome is unknown.
 TEST(path_test, abandonedRequestsGetAFinalAnswer)
@@ -270,6 +305,7 @@
     CHECK_TRUE(waitUntil([&] { return upstream.heads().size() == 1; }));
     std::atomic<bool> done{false};
     node.server().drain([&done] { done = true; });
+    node.waitForQueuedWork();
     CHECK_FALSE(done.load());
     release = true;
     const auto answer = client.readUntilEnd();
--- a/src/caller/tests/testnode.cpp
+++ b/src/caller/tests/testnode.cpp
@@ -3,6 +3,9 @@
 #include "caller/tests/rawclient.h"
 #include "upstream/wiring.h"
 
+#include <boost/asio/post.hpp>
+#include <future>
+
 namespace hawthornpick::testing {
 
 namespace {
@@ -41,7 +44,8 @@
     return set;
 }
 
-test_node::test_node(const std::string &name, config::config_set set, std::uint32_t maxConnections)
+test_node::test_node(const std::string &name, config::config_set set, std::uint32_t maxConnections,
+                     const std::function<void(caller::entry_hooks &)> &adjust)
     : m_name(name), m_configuration(std::make_shared<const config::snapshot>(1, std::move(set))),
       m_fleet(std::make_shared<const membership::view>()),
       m_selector(policy::selector_settings{base::node_id(name), base::region_id("r1")}, 1),
@@ -70,6 +74,9 @@
             [](const base::node_id &, base::channel, std::string) {});
     auto entryHooks = caller::policyHooks(m_selector, m_budgets);
     entryHooks.isCurrent = hooks.isCurrent;
+    if (adjust) {
+        adjust(entryHooks);
+    }
     m_server = std::make_unique<caller::caller_server>(
             std::vector{&m_context}, membership::endpoint{"127.0.0.1", 0},
             caller::server_dependencies{base::node_id(name),
@@ -113,6 +120,15 @@
     return node;
 }
 
+auto test_node::waitForQueuedWork() -> void
+{
+    for (int round = 0; round < 2; ++round) {
+        std::promise<void> done;
+        boost::asio::post(m_context, [&done] { done.set_value(); });
+        done.get_future().wait();
+    }
+}
+
 auto test_node::know(const test_node &other) -> void
 {
     {
--- a/src/caller/tests/testnode.h
+++ b/src/caller/tests/testnode.h
@@ -26,7 +26,8 @@
 {
 public:
     explicit test_node(const std::string &name = "n1", config::config_set set = testConfiguration(),
-                       std::uint32_t maxConnections = 100);
+                       std::uint32_t maxConnections = 100,
+                       const std::function<void(caller::entry_hooks &)> &adjust = nullptr);
     ~test_node();
     test_node(const test_node &) = delete;
     auto operator=(const test_node &) -> test_node & = delete;
@@ -40,6 +41,9 @@
     auto announce(const std::string &name, std::uint16_t upstreamPort, std::uint32_t slots = 4,
                   membership::upstream_state state = membership::upstream_state::Ready) -> void;
 
+    //! Waits until the node's thread has run what is queued now and what that queues.
+    auto waitForQueuedWork() -> void;
+
     //! Makes this node know another one, so that it forwards requests to it.
     auto know(const test_node &other) -> void;
 
