Read the peer's hello and handshake frames in one place

The two sides of the handshake repeated the checks of a hello, and each step of it repeated the reading and checking of a frame. The protocol, its errors and their texts stay as they are.

--- a/src/peer/internal/connection.cpp
+++ b/src/peer/internal/connection.cpp
@@ -93,23 +93,36 @@
     co_return base::result<void>();
 }
 
+// Reads one frame and gives its payload to `step`. Closes the connection if either fails.
+template <typename Step>
+auto connection::handshakeStep(frame_type expected, Step step)
+        -> asio::awaitable<std::invoke_result_t<Step, std::string_view>>
+{
+    const auto frame = co_await readFrame();
+    if (!frame) {
+        co_return tl::unexpected(frame.error());
+    }
+    auto done = frame->type == expected ? step(frame->payload)
+                                        : base::fail(base::error_kind::BadRequest,
+                                                     "unexpected frame during the handshake");
+    if (!done) {
+        close(done.error().detail);
+        co_return base::fail(base::error_kind::PeerUnreachable, done.error().detail);
+    }
+    co_return done;
+}
+
 auto connection::handshakeAsConnecting() -> asio::awaitable<base::result<void>>
 {
     const auto self = shared_from_this();
     handshake exchange(handshake::side::Connecting, m_identity);
     m_queue.push(frame_type::Hello, 0, exchange.hello());
     scheduleWrite();
-    const auto frame = co_await readFrame();
-    if (!frame) {
-        co_return tl::unexpected(frame.error());
-    }
-    auto proof = frame->type == frame_type::Hello
-                         ? exchange.finish(frame->payload)
-                         : base::fail(base::error_kind::BadRequest,
-                                      "unexpected frame during the handshake");
+    auto proof = co_await handshakeStep(frame_type::Hello, [&exchange](std::string_view payload) {
+        return exchange.finish(payload);
+    });
     if (!proof) {
-        close(proof.error().detail);
-        co_return base::fail(base::error_kind::PeerUnreachable, proof.error().detail);
+        co_return tl::unexpected(proof.error());
     }
     m_queue.push(frame_type::Proof, 0, std::move(*proof));
     scheduleWrite();
@@ -121,31 +134,20 @@
 {
     const auto self = shared_from_this();
     handshake exchange(handshake::side::Accepting, m_identity);
-    const auto first = co_await readFrame();
-    if (!first) {
-        co_return tl::unexpected(first.error());
-    }
-    auto answer = first->type == frame_type::Hello
-                          ? exchange.answer(first->payload)
-                          : base::fail(base::error_kind::BadRequest,
-                                       "unexpected frame during the handshake");
+    auto answer = co_await handshakeStep(frame_type::Hello, [&exchange](std::string_view payload) {
+        return exchange.answer(payload);
+    });
     if (!answer) {
-        close(answer.error().detail);
-        co_return base::fail(base::error_kind::PeerUnreachable, answer.error().detail);
+        co_return tl::unexpected(answer.error());
     }
     m_queue.push(frame_type::Hello, 0, std::move(*answer));
     scheduleWrite();
-    const auto second = co_await readFrame();
-    if (!second) {
-        co_return tl::unexpected(second.error());
-    }
-    const auto verified = second->type == frame_type::Proof
-                                  ? exchange.verify(second->payload)
-                                  : base::fail(base::error_kind::BadRequest,
-                                               "unexpected frame during the handshake");
+    const auto verified =
+            co_await handshakeStep(frame_type::Proof, [&exchange](std::string_view payload) {
+                return exchange.verify(payload);
+            });
     if (!verified) {
-        close(verified.error().detail);
-        co_return base::fail(base::error_kind::PeerUnreachable, verified.error().detail);
+        co_return tl::unexpected(verified.error());
     }
     establish(exchange.peerNode(), exchange.peerIncarnation());
     co_return base::result<void>();
--- a/src/peer/internal/connection.h
+++ b/src/peer/internal/connection.h
@@ -13,6 +13,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <type_traits>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -124,6 +126,9 @@
     [[nodiscard]] auto peerIncarnation() const -> base::incarnation { return m_peerIncarnation; }
 
 private:
+    template <typename Step>
+    auto handshakeStep(frame_type expected, Step step)
+            -> boost::asio::awaitable<std::invoke_result_t<Step, std::string_view>>;
     auto readFrame() -> boost::asio::awaitable<base::result<frame_view>>;
     auto handleFrame(const frame_view &frame) -> bool;
     auto handleHead(const frame_view &frame) -> bool;
--- a/src/peer/internal/handshake.cpp
+++ b/src/peer/internal/handshake.cpp
@@ -44,9 +44,9 @@
     return base::encodeThrift(message);
 }
 
-auto handshake::answer(std::string_view peerHello) -> base::result<std::string>
+auto handshake::takeHello(std::string_view payload) -> base::result<std::string>
 {
-    const auto message = base::decodeThrift<wire::hello>(peerHello);
+    const auto message = base::decodeThrift<wire::hello>(payload);
     if (!message || message->nonce.size() != NONCE_BYTES || message->node.empty()) {
         return base::fail(base::error_kind::BadRequest, "malformed hello");
     }
@@ -57,23 +57,24 @@
     m_peerNonce = message->nonce;
     m_peerNode = base::node_id(message->node);
     m_peerIncarnation = static_cast<base::incarnation>(message->incarnation);
+    return message->proof;
+}
+
+auto handshake::answer(std::string_view peerHello) -> base::result<std::string>
+{
+    if (const auto proof = takeHello(peerHello); !proof) {
+        return tl::unexpected(proof.error());
+    }
     return hello();
 }
 
 auto handshake::finish(std::string_view peerAnswer) -> base::result<std::string>
 {
-    const auto message = base::decodeThrift<wire::hello>(peerAnswer);
-    if (!message || message->nonce.size() != NONCE_BYTES || message->node.empty()) {
-        return base::fail(base::error_kind::BadRequest, "malformed hello");
+    const auto peerProof = takeHello(peerAnswer);
+    if (!peerProof) {
+        return tl::unexpected(peerProof.error());
     }
-    if (message->version != m_version) {
-        return base::fail(base::error_kind::BadRequest,
-                          "peer uses protocol version " + std::to_string(message->version));
-    }
-    m_peerNonce = message->nonce;
-    m_peerNode = base::node_id(message->node);
-    m_peerIncarnation = static_cast<base::incarnation>(message->incarnation);
-    if (!isEqualProof(message->proof, proofOf(side::Accepting))) {
+    if (!isEqualProof(*peerProof, proofOf(side::Accepting))) {
         return base::fail(base::error_kind::KeyInvalid, "peer does not know the fleet secret");
     }
     wire::hello_proof proof;
--- a/src/peer/internal/handshake.h
+++ b/src/peer/internal/handshake.h
@@ -47,6 +47,8 @@
     [[nodiscard]] auto peerIncarnation() const -> base::incarnation { return m_peerIncarnation; }
 
 private:
+    // Takes the peer's nonce and identity; returns its proof, which is empty in the first hello.
+    auto takeHello(std::string_view payload) -> base::result<std::string>;
     [[nodiscard]] auto proofOf(side role) const -> std::string;
 
     side m_role;
