Share the group's test for a leader and the directory's messages

Voting computed in two places whether a leader is known; the hub and the reporter each built messages of the channel Directory. Removes two members of quorum_node that nothing called and an unused parameter.

--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-auto toMessage(const base::node_id &to, const message &content) -> base::outgoing_message
-{
-    return {to, base::channel::Directory, encodeMessage(content)};
-}
-
 auto addTo(base::usage_map &sum, const base::usage_map &part) -> void
 {
     for (const auto &[organisation, usage] : part) {
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -224,6 +224,11 @@
     return std::nullopt;
 }
 
+auto toMessage(const base::node_id &to, const message &content) -> base::outgoing_message
+{
+    return {to, base::channel::Directory, encodeMessage(content)};
+}
+
 auto nodeAt(const membership::endpoint &peerAddress) -> base::node_id
 {
     return base::node_id(membership::toString(peerAddress));
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -115,16 +115,15 @@
 
 auto reporter::sendReport(base::time_point now) -> messages
 {
+    m_reportAt = now + REPORT_INTERVAL;
     chooseHub(now);
     if (m_hub.empty()) {
-        m_reportAt = now + REPORT_INTERVAL;
         return {};
     }
-    m_reportAt = now + REPORT_INTERVAL;
     m_sentAt = now;
     m_isWaiting = true;
     const report content{m_self, m_mark, m_version, m_sinks.usages()};
-    return {{m_hub, base::channel::Directory, encodeMessage(content)}};
+    return {toMessage(m_hub, content)};
 }
 
 auto reporter::distanceTo(const base::node_id &node) const -> int
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/message.h"
 #include "base/usage.h"
 #include "membership/view.h"
 
@@ -98,6 +99,9 @@
 //! Thread safety: pure.
 auto encodeMessage(const message &content) -> std::string;
 
+//! Builds a message of the channel `Directory`. Thread safety: pure.
+auto toMessage(const base::node_id &to, const message &content) -> base::outgoing_message;
+
 //! Nothing if the bytes are damaged. Thread safety: pure.
 auto decodeMessage(std::string_view bytes) -> std::optional<message>;
 
--- a/src/quorum/internal/quorumnode.cpp
+++ b/src/quorum/internal/quorumnode.cpp
@@ -91,7 +91,7 @@
         } else {
             m_replica->receive(from, *content, now);
         }
-        return flush(now);
+        return flush();
     }
 
     auto tick(base::time_point now) -> messages
@@ -101,7 +101,7 @@
         }
         m_replica->tick(now);
         advanceOpen(now);
-        return flush(now);
+        return flush();
     }
 
     auto ask(operator_request request, base::duration timeout, answer_function done) -> void
@@ -116,7 +116,7 @@
                 return messages{};
             }
             self->advanceOpen(now);
-            return self->flush(now);
+            return self->flush();
         });
     }
 
@@ -133,17 +133,17 @@
                    {"term", loaded.term},
                    {"version", loaded.value ? loaded.value->version : 0}});
         m_replica.emplace(m_settings.replica, std::move(loaded), m_edit, m_random, now);
-        return flush(now);
+        return flush();
     }
 
     auto onWritten(std::uint64_t ticket, base::time_point now) -> messages
     {
         m_replica->persisted(ticket, now);
-        return flush(now);
+        return flush();
     }
 
     // Hands out everything that the last event produced.
-    auto flush(base::time_point /*now*/) -> messages
+    auto flush() -> messages
     {
         auto out = m_replica->takeMessages();
         for (auto &item : m_replica->takeFinished()) {
@@ -327,19 +327,9 @@
     });
 }
 
-auto quorum_node::committed() const -> value_pointer
-{
-    return m_state->replica() ? m_state->replica()->committed() : nullptr;
-}
-
 auto quorum_node::isFresh(base::time_point now, base::duration limit) const -> bool
 {
     return m_state->replica() && m_state->replica()->isFresh(now, limit);
 }
 
-auto quorum_node::leader() const -> base::node_id
-{
-    return m_state->replica() ? m_state->replica()->leader() : base::node_id();
-}
-
 } // namespace hawthornpick::quorum
--- a/src/quorum/internal/replicaelection.cpp
+++ b/src/quorum/internal/replicaelection.cpp
@@ -38,13 +38,17 @@
     countVotes(now);
 }
 
+auto replica::hasLeader(base::time_point now) const -> bool
+{
+    return m_role == replica_role::Leader
+           || (!m_leader.empty() && now - m_leaderHeardAt < ELECTION_TIME);
+}
+
 auto replica::mayVoteFor(const vote_request &request, base::time_point now) const -> bool
 {
-    const bool hasLeader = m_role == replica_role::Leader
-                           || (!m_leader.empty() && now - m_leaderHeardAt < ELECTION_TIME);
     // A disk without a value may be one that was lost; it must not help to elect a leader that
     // lacks what the lost disk had confirmed.
-    if (!m_state.value || hasLeader || request.newest < newestPosition()) {
+    if (!m_state.value || hasLeader(now) || request.newest < newestPosition()) {
         return false;
     }
     if (request.isTrial) {
@@ -56,9 +60,7 @@
 
 auto replica::handle(const vote_request &request, base::time_point now) -> void
 {
-    const bool hasLeader = m_role == replica_role::Leader
-                           || (!m_leader.empty() && now - m_leaderHeardAt < ELECTION_TIME);
-    if (!request.isTrial && request.term > m_state.term && !hasLeader) {
+    if (!request.isTrial && request.term > m_state.term && !hasLeader(now)) {
         becomeFollower(request.term, now);
     }
     const bool isGranted = mayVoteFor(request, now);
--- a/src/quorum/quorumnode.h
+++ b/src/quorum/quorumnode.h
@@ -42,15 +42,9 @@
             -> boost::asio::awaitable<group_answer>;
     auto read(base::duration timeout) -> boost::asio::awaitable<group_answer>;
 
-    //! Newest committed value known here, or null.
-    [[nodiscard]] auto committed() const -> value_pointer;
-
     //! True if the committed value was the leader's newest one within `limit`.
     [[nodiscard]] auto isFresh(base::time_point now, base::duration limit) const -> bool;
 
-    //! Node that leads the group, empty if unknown.
-    [[nodiscard]] auto leader() const -> base::node_id;
-
 private:
     class state;
     std::shared_ptr<state> m_state;
--- a/src/quorum/replica.h
+++ b/src/quorum/replica.h
@@ -152,6 +152,7 @@
     auto becomeLeader(base::time_point now) -> void;
     auto becomeFollower(std::uint64_t term, base::time_point now) -> void;
     auto delayElection(base::time_point now) -> void;
+    [[nodiscard]] auto hasLeader(base::time_point now) const -> bool;
     [[nodiscard]] auto mayVoteFor(const vote_request &request, base::time_point now) const -> bool;
     auto stepDownWithoutMajority(base::time_point now) -> void;
 
