--- a/src/app/internal/commands.h
+++ b/src/app/internal/commands.h
@@ -4,6 +4,7 @@
 #include "app/meshadapter.h"
 #include "config/settings.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -43,6 +44,10 @@
 auto runErrors(const command_options &options) -> exit_code;
 auto runVersion(const command_options &options) -> exit_code;
 
+//! Runs a node with the log configured. An exception ends it with a log line and `Failure`.
+auto runNode(base::log_level logLevel, const base::node_id &name,
+             const std::function<exit_code()> &run) -> exit_code;
+
 //! Reads a whole file; nothing if it can't be read.
 auto readFile(const std::string &path) -> std::optional<std::string>;
 
--- a/src/app/internal/localcommands.cpp
+++ b/src/app/internal/localcommands.cpp
@@ -20,6 +20,25 @@
     }
 }
 
+template <typename Settings>
+auto loadParsed(const std::string &path,
+                tl::expected<Settings, std::vector<config::diagnostic>> (*parse)(
+                        std::string_view fileName, std::string_view text))
+        -> std::optional<Settings>
+{
+    const auto text = readFile(path);
+    if (!text) {
+        std::cerr << path << ": file can't be read\n";
+        return std::nullopt;
+    }
+    auto parsed = parse(path, *text);
+    if (!parsed) {
+        printErrors(parsed.error());
+        return std::nullopt;
+    }
+    return std::move(*parsed);
+}
+
 auto checkFolder(const std::string &folder) -> exit_code
 {
     const auto files = config::readDeclarationFolder(folder);
@@ -51,17 +70,12 @@
 
 auto loadSettings(const std::string &path) -> std::optional<config::settings>
 {
-    const auto text = readFile(path);
-    if (!text) {
-        std::cerr << path << ": file can't be read\n";
-        return std::nullopt;
-    }
-    auto parsed = config::parseSettings(path, *text);
-    if (!parsed) {
-        printErrors(parsed.error());
-        return std::nullopt;
-    }
-    return std::move(*parsed);
+    return loadParsed(path, config::parseSettings);
+}
+
+auto loadMeshSettings(const std::string &path) -> std::optional<config::mesh_settings>
+{
+    return loadParsed(path, config::parseMeshSettings);
 }
 
 auto runCheck(const command_options &options) -> exit_code
--- a/src/app/internal/meshcommand.cpp
+++ b/src/app/internal/meshcommand.cpp
@@ -7,8 +7,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <exception>
-#include <iostream>
 
 namespace hawthornpick::app {
 
@@ -134,38 +132,16 @@
 
 } // namespace
 
-auto loadMeshSettings(const std::string &path) -> std::optional<config::mesh_settings>
-{
-    const auto text = readFile(path);
-    if (!text) {
-        std::cerr << path << ": file can't be read\n";
-        return std::nullopt;
-    }
-    auto parsed = config::parseMeshSettings(path, *text);
-    if (!parsed) {
-        for (const auto &item : parsed.error()) {
-            std::cerr << config::toString(item) << "\n";
-        }
-        return std::nullopt;
-    }
-    return *std::move(parsed);
-}
-
 auto runMesh(const command_options &options, mesh_adapter adapter) -> exit_code
 {
     const auto settings = loadMeshSettings(options.settingsFile);
     if (!settings) {
         return exit_code::InvalidInput;
     }
-    base::configureLogging(settings->logLevel, settings->name.str());
-    std::signal(SIGPIPE, SIG_IGN);
-    try {
+    return runNode(settings->logLevel, settings->name, [&] {
         mesh_process process(options.settingsFile, *settings, std::move(adapter));
         return process.run();
-    } catch (const std::exception &problem) {
-        base::log(base::log_level::Error, "node can't start", {{"error", problem.what()}});
-        return exit_code::Failure;
-    }
+    });
 }
 
 } // namespace hawthornpick::app
--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -23,15 +23,6 @@
     return membership::parseEndpoint(node.str());
 }
 
-// Milliseconds keep the numbers of two starts of a process apart; a clock that went back is made
-// up for by the hub.
-auto newGeneration() -> std::uint64_t
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<std::uint64_t>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 auto firstError(const std::vector<config::diagnostic> &errors) -> std::string
 {
     std::string text;
@@ -82,7 +73,9 @@
     record.entry.region = settings.region;
     record.entry.failureDomain = settings.failureDomain;
     record.entry.peerAddress = {settings.address, settings.peerPort};
-    record.generation = newGeneration();
+    // Milliseconds keep the numbers of two starts of a process apart; the hub makes up for a clock
+    // that went back.
+    record.generation = base::wallClockMilliseconds();
     record.isHub = !settings.dataFolder.empty();
     return record;
 }
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -49,7 +49,6 @@
 //! come late.
 constexpr peer::link_timing LINK_TIMING{base::milliseconds(100), base::milliseconds(700),
                                         base::milliseconds(250), base::milliseconds(150)};
-constexpr unsigned FIRST_SERVER_ERROR = 500;
 //! Part of the target latency by which a wait may be longer than the entry node assumed.
 constexpr int WAIT_MARGIN_DIVISOR = 8;
 constexpr unsigned MAX_PLACEMENTS = 6;
@@ -72,10 +71,8 @@
 
 auto identityOf(const config::mesh_settings &settings) -> peer::link_identity
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const auto incarnation = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-    return {fleet::nodeAt({settings.address, settings.peerPort}),
-            static_cast<base::incarnation>(incarnation), settings.fleetSecret, settings.address};
+    return {fleet::nodeAt({settings.address, settings.peerPort}), base::wallClockMilliseconds(),
+            settings.fleetSecret, settings.address};
 }
 
 auto placementSettings(const config::mesh_settings &settings) -> policy::placement_settings
@@ -380,7 +377,7 @@
                          {"busy", report.load ? report.load->busySlots : 0},
                          {"waiting", report.load ? report.load->waiting : 0}});
         }
-        if (!report.failure && report.status < FIRST_SERVER_ERROR) {
+        if (!report.failure && !base::isServerError(report.status)) {
             m_placement.onAnswerBytes(report.route, report.answerBytes);
             m_latencies.record(report.route, report.elapsed);
         }
@@ -401,7 +398,7 @@
 
     auto onRequestEnd(const caller::request_report &report) -> void
     {
-        const auto event = report.failure || report.status >= FIRST_SERVER_ERROR
+        const auto event = report.failure || base::isServerError(report.status)
                                    ? log_event::RequestFailed
                                    : log_event::RequestServed;
         m_log.write(event, base::clock::now(),
--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -33,9 +33,7 @@
 // process ran. Message numbers that contain it allow 43 bits, so milliseconds are used.
 auto newIncarnation() -> base::incarnation
 {
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return static_cast<base::incarnation>(
-            std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    return base::wallClockMilliseconds();
 }
 
 auto identityOf(const config::settings &settings) -> peer::link_identity
--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <csignal>
-#include <exception>
 
 namespace hawthornpick::app {
 
@@ -84,9 +83,7 @@
     if (!settings) {
         return exit_code::InvalidInput;
     }
-    base::configureLogging(settings->logLevel, settings->node.str());
-    std::signal(SIGPIPE, SIG_IGN);
-    try {
+    return runNode(settings->logLevel, settings->node, [&settings] {
         node process(*settings);
         shutdown_sequence shutdown(process, settings->shutdownLimit);
         process.start();
@@ -96,10 +93,7 @@
                    {"callers", membership::toString(settings->callerAddress)},
                    {"peers", membership::toString(settings->peerAddress)}});
         return shutdown.run();
-    } catch (const std::exception &problem) {
-        base::log(base::log_level::Error, "node can't start", {{"error", problem.what()}});
-        return exit_code::Failure;
-    }
+    });
 }
 
 } // namespace hawthornpick::app
--- a/src/app/internal/upstreamhealth.cpp
+++ b/src/app/internal/upstreamhealth.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-//! Upstreams that had no request for longer are forgotten.
+//! When more than these have had requests, all are forgotten and learned anew.
 constexpr std::size_t MAX_UPSTREAMS = 64;
 constexpr double ACCEPTANCE_SMOOTHING = 0.15;
 //! Target of requests whose route only a newer configuration has.
@@ -63,10 +63,7 @@
 {
     const auto snapshot = m_configuration.load();
     const auto *found = config::findRoute(snapshot->set(), route);
-    if (found == nullptr) {
-        return UNKNOWN_TARGET;
-    }
-    return found->targetLatency.count() > 0 ? found->targetLatency : found->deadline;
+    return found == nullptr ? UNKNOWN_TARGET : found->effectiveTarget();
 }
 
 auto upstream_health::expectedTime(const base::route_id &route) const -> base::duration
--- a/src/base/errorkind.h
+++ b/src/base/errorkind.h
@@ -95,6 +95,20 @@
 //! Precondition: `kind` is an enumerator. Thread safety: pure.
 auto answerFor(error_kind kind) -> const error_answer &;
 
+//! True if `kind` says that the request was not run. Precondition and thread safety: as
+//! `answerFor`.
+inline auto isNotRun(error_kind kind) -> bool
+{
+    return answerFor(kind).result == outcome::NotRun;
+}
+
+//! True if an answer with this HTTP status reports a failure of the server. Thread safety: pure.
+inline auto isServerError(unsigned status) -> bool
+{
+    constexpr unsigned FIRST_SERVER_ERROR = 500;
+    return status >= FIRST_SERVER_ERROR;
+}
+
 //! Returns the whole table in the order of the enumerators. Thread safety: pure.
 auto errorTable() -> std::span<const error_answer>;
 
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
+#include <string_view>
 
 namespace hawthornpick::base {
 
@@ -25,4 +27,23 @@
     return std::chrono::duration<double>(span).count();
 }
 
+//! Returns a span of `seconds`, rounded down to the resolution of the clock.
+//! Thread safety: pure.
+inline auto fromSeconds(double seconds) -> duration
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+//! Returns the milliseconds of a text such as `1500ms` or `2.5s`; nothing for any other text. The
+//! number may be negative. Thread safety: pure.
+auto parseTimeSpan(std::string_view text) -> std::optional<double>;
+
+//! Returns the time of the host's clock in milliseconds since 1970. It may go back.
+//! Thread safety: any thread.
+inline auto wallClockMilliseconds() -> std::uint64_t
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
 } // namespace hawthornpick::base
--- a/src/caller/internal/attemptset.h
+++ b/src/caller/internal/attemptset.h
@@ -38,7 +38,6 @@
         m_pass = nullptr;
     }
 
-    [[nodiscard]] auto started() const -> bool { return m_start.has_value() || m_isPassedOn; }
     //! True if the answer exceeded the limit and went to the caller.
     [[nodiscard]] auto isPassedOn() const -> bool { return m_isPassedOn; }
     [[nodiscard]] auto status() const -> unsigned { return m_status; }
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -38,11 +38,6 @@
               });
 }
 
-auto isNotRun(error_kind kind) -> bool
-{
-    return base::answerFor(kind).result == base::outcome::NotRun;
-}
-
 // Identifies a request that crashes upstreams. Fields are separated by bytes that they can't hold.
 auto fingerprintOf(const upstream::attempt_request &request) -> base::digest256
 {
@@ -189,7 +184,7 @@
     report.idempotent = m_request.idempotent;
     report.attempts = m_placements;
     report.elapsed = base::clock::now() - m_arrival;
-    report.isLate = m_route != nullptr && base::clock::now() > selection().target;
+    report.isLate = m_route != nullptr && base::clock::now() > target();
     if (refused) {
         report.failure = refused->what;
         report.retryAfter = refused->retryAfter;
@@ -379,7 +374,7 @@
     }
     m_request.body = std::move(body);
     m_request.fingerprint = fingerprintOf(m_request);
-    m_request.answerBy = selection().target;
+    m_request.answerBy = target();
     m_request.priority = priority();
 }
 
@@ -419,7 +414,7 @@
 auto entry_request::readRest() -> asio::awaitable<base::result<std::string>>
 {
     auto part = co_await m_body->read();
-    if (!part && isNotRun(part.error().kind)) {
+    if (!part && base::isNotRun(part.error().kind)) {
         co_return base::fail(error_kind::OutcomeUnknown,
                              std::string(base::answerFor(part.error().kind).reason));
     }
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -91,6 +91,7 @@
 
     // Attempts (entryattempts.cpp).
     auto runAttempts() -> task<refusal_or_done>;
+    auto target() const -> base::time_point;
     auto selection() const -> selection_request;
     auto choose() -> base::result<chosen_node>;
     auto launch(const chosen_node &chosen) -> task<refusal_or_done>;
@@ -101,6 +102,7 @@
     auto isAnswer(const attempt &item) const -> bool;
     auto deliver(attempt &item) -> task<refusal_or_done>;
     auto answerCaller(upstream::answer_start answer) -> task<refusal_or_done>;
+    auto writeAnswer(upstream::answer_start answer) -> task<refusal_or_done>;
     auto afterFailure(const attempt_pointer &item) -> task<refusal_or_done>;
     auto lastAnswer() -> task<refusal_or_done>;
     auto replay(const idempotency_replay &stored) -> task<refusal_or_done>;
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr unsigned FIRST_SERVER_ERROR = 500;
-
 // Kinds after which another node or another moment may succeed. The others say something about the
 // request itself or about its remaining time.
 auto isRetryable(error_kind kind) -> bool
@@ -57,30 +55,28 @@
            || kind == error_kind::Overloaded;
 }
 
-auto isNotRun(error_kind kind) -> bool
-{
-    return base::answerFor(kind).result == base::outcome::NotRun;
-}
-
 } // namespace
 
 // A later refusal before start does not undo an earlier attempt.
 auto entry_request::finalRefusal(base::error what) const -> refusal
 {
     const bool isUnknown = m_mayHaveRun || m_attempts.running() > 0;
-    if (isUnknown && isNotRun(what.kind)) {
+    if (isUnknown && base::isNotRun(what.kind)) {
         return {{error_kind::OutcomeUnknown, std::string(base::answerFor(what.kind).reason)}, {}};
     }
     const auto &retryAfter = m_owner.dependencies().hooks.retryAfter;
-    const auto pause = retryAfter && isNotRun(what.kind) ? retryAfter(what, selection())
-                                                         : base::milliseconds(0);
+    const auto pause = retryAfter && base::isNotRun(what.kind) ? retryAfter(what, selection())
+                                                               : base::milliseconds(0);
     return {std::move(what), pause};
 }
 
+auto entry_request::target() const -> base::time_point
+{
+    return m_arrival + m_route->effectiveTarget();
+}
+
 auto entry_request::selection() const -> selection_request
 {
-    const auto targetLatency =
-            m_route->targetLatency.count() > 0 ? m_route->targetLatency : m_route->deadline;
     return {*m_owner.fleet(),
             m_service,
             m_request.idempotent,
@@ -94,7 +90,7 @@
             m_request.requestId,
             m_arrival,
             m_request.deadline,
-            m_arrival + targetLatency};
+            target()};
 }
 
 auto entry_request::choose() -> base::result<chosen_node>
@@ -174,8 +170,8 @@
     if (item.result->failure) {
         return false;
     }
-    const bool isServerError = item.answer.status() >= FIRST_SERVER_ERROR;
-    const bool isRepeated = isServerError && m_request.idempotent && !item.answer.isPassedOn()
+    const bool isRepeated = base::isServerError(item.answer.status()) && m_request.idempotent
+                            && !item.answer.isPassedOn()
                             && m_owner.dependencies().hooks.rules.repeatsServerErrors;
     return !isRepeated;
 }
@@ -282,6 +278,11 @@
         m_record->keepStart(answer);
         m_record->complete();
     }
+    co_return co_await writeAnswer(std::move(answer));
+}
+
+auto entry_request::writeAnswer(upstream::answer_start answer) -> task<refusal_or_done>
+{
     auto sent = co_await m_writer.start(std::move(answer));
     if (sent) {
         sent = co_await m_writer.end();
@@ -296,11 +297,7 @@
         co_return refusal{{error_kind::OutcomeUnknown, "the stored answer is damaged"}, {}};
     }
     upstream::appendHeader(answer->headers, "Idempotency-Replayed", "true");
-    auto sent = co_await m_writer.start(std::move(*answer));
-    if (sent) {
-        sent = co_await m_writer.end();
-    }
-    co_return sent ? std::nullopt : refusal_or_done(refusal{sent.error(), {}});
+    co_return co_await writeAnswer(std::move(*answer));
 }
 
 // Returns a refusal if the request has failed for good; otherwise another attempt is under way or
@@ -342,7 +339,7 @@
 
 auto entry_request::provedNotRun(const base::error &failure, const attempt &item) -> task<bool>
 {
-    if (isNotRun(failure.kind)) {
+    if (base::isNotRun(failure.kind)) {
         co_return true;
     }
     const auto &fence = m_owner.dependencies().hooks.fence;
@@ -357,7 +354,7 @@
     const auto &rules = m_owner.dependencies().hooks.rules;
     const auto kind =
             item.result->failure ? item.result->failure->kind : error_kind::UpstreamFailed;
-    const bool isRefusal = isNotRun(kind) && !item.result->answerStarted;
+    const bool isRefusal = base::isNotRun(kind) && !item.result->answerStarted;
     m_starts += isRefusal && kind != error_kind::UpstreamRefused && rules.refusalsAreFree ? 0 : 1;
     m_mayHaveRun = m_mayHaveRun || !isRefusal;
     if (m_writer.started() || m_bodyUsed || !isRetryable(kind) || m_cancel.reason()) {
@@ -370,7 +367,7 @@
         }
         // All earlier attempts of a non-idempotent request were proved as well.
         m_mayHaveRun = false;
-        if (!isNotRun(kind)) {
+        if (!base::isNotRun(kind)) {
             m_lastFailure = base::error{error_kind::PeerUnreachable, "fenced before start"};
         }
     }
@@ -387,7 +384,7 @@
     const bool isFree = rules.refusalsAreFree && isRefusal && kind != error_kind::UpstreamRefused;
     if (!isFree && !spendRepeat()) {
         // Only a refusal before start may be reported under a kind that says "not run".
-        if (isNotRun(kind)) {
+        if (base::isNotRun(kind)) {
             m_lastFailure = base::error{error_kind::RetryBudgetExhausted, {}};
         }
         co_return false;
--- a/src/caller/internal/wiring.cpp
+++ b/src/caller/internal/wiring.cpp
@@ -27,8 +27,7 @@
 auto tellSelector(policy::selector &selector, const attempt_report &report) -> void
 {
     const auto now = base::clock::now();
-    const bool refused =
-            report.failure && base::answerFor(*report.failure).result == base::outcome::NotRun;
+    const bool refused = report.failure && base::isNotRun(*report.failure);
     if (report.load && !refused) {
         selector.onAnswer(report.service, report.chosen.id, *report.load, now);
         return;
--- a/src/config/internal/meshsettings.cpp
+++ b/src/config/internal/meshsettings.cpp
@@ -27,8 +27,7 @@
     out.peerPort = static_cast<std::uint16_t>(reader.number("peer_port", 0, 1, 65535));
     out.dataFolder = reader.text("data_folder").value_or("");
     out.stopTime = reader.timeSpan("stop_time", out.stopTime, 0ms, 1h);
-    out.logLevel = static_cast<base::log_level>(
-            reader.choice("log_level", {"debug", "info", "warning", "error"}, 1));
+    out.logLevel = reader.logLevel();
 }
 
 auto readListen(section_reader &reader, mesh_settings &out) -> void
--- a/src/config/internal/sectionreader.cpp
+++ b/src/config/internal/sectionreader.cpp
@@ -163,20 +163,15 @@
     if (entry == nullptr) {
         return fallback;
     }
-    std::string_view text = entry->value;
-    const bool isMilliseconds = text.ends_with("ms");
-    const bool isSeconds = !isMilliseconds && text.ends_with("s");
-    text.remove_suffix(isMilliseconds ? 2 : isSeconds ? 1 : 0);
-    const auto value = isMilliseconds || isSeconds ? parseNumber<double>(text) : std::nullopt;
-    const auto inMilliseconds = value.value_or(-1.0) * (isSeconds ? 1000.0 : 1.0);
+    const auto span = base::parseTimeSpan(entry->value);
     const auto first = static_cast<double>(minimum.count());
     const auto last = static_cast<double>(maximum.count());
-    if (!std::isfinite(inMilliseconds) || inMilliseconds < first || inMilliseconds > last) {
+    if (!span || *span < first || *span > last) {
         reject(key, quoted(entry->value) + " is not a time from " + std::to_string(minimum.count())
                             + "ms to " + std::to_string(maximum.count()) + "ms");
         return fallback;
     }
-    return base::milliseconds(std::llround(inMilliseconds));
+    return base::milliseconds(std::llround(*span));
 }
 
 auto section_reader::flag(std::string_view key, bool fallback) -> bool
@@ -203,6 +198,12 @@
     return fallback;
 }
 
+auto section_reader::logLevel() -> base::log_level
+{
+    return static_cast<base::log_level>(choice("log_level", {"debug", "info", "warning", "error"},
+                                               static_cast<std::size_t>(base::log_level::Info)));
+}
+
 auto section_reader::endpoint(std::string_view key, bool required) -> membership::endpoint
 {
     const auto *entry = find(key);
--- a/src/config/internal/sectionreader.h
+++ b/src/config/internal/sectionreader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/log.h"
 #include "base/time.h"
 #include "config/diagnostic.h"
 #include "config/internal/inidocument.h"
@@ -62,6 +63,9 @@
     auto choice(std::string_view key, const std::vector<std::string> &allowed, std::size_t fallback)
             -> std::size_t;
 
+    //! Value of the key `log_level`, `Info` if absent or wrong.
+    auto logLevel() -> base::log_level;
+
     //! Address and port; an absent key is an error only if `required`.
     auto endpoint(std::string_view key, bool required) -> membership::endpoint;
 
--- a/src/config/internal/settings.cpp
+++ b/src/config/internal/settings.cpp
@@ -65,8 +65,7 @@
     out.shutdownLimit = reader.span("shutdown_limit_ms", out.shutdownLimit, 0ms, 1h);
     out.profile = static_cast<policy_profile>(
             reader.choice("profile", {"balanced", "fast-detection", "few-false-ejections"}, 0));
-    out.logLevel = static_cast<base::log_level>(
-            reader.choice("log_level", {"debug", "info", "warning", "error"}, 1));
+    out.logLevel = reader.logLevel();
 }
 
 auto readListen(section_reader &reader, settings &out) -> void
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -107,6 +107,12 @@
     //! Empty if all requests go to `service`.
     std::vector<weighted_service> split = {};
 
+    //! Time within which an answer has its full value.
+    [[nodiscard]] auto effectiveTarget() const -> base::milliseconds
+    {
+        return targetLatency.count() > 0 ? targetLatency : deadline;
+    }
+
     auto operator<=>(const route &) const = default;
 };
 
--- a/src/limits/internal/tokenbucket.cpp
+++ b/src/limits/internal/tokenbucket.cpp
@@ -106,8 +106,7 @@
         return base::duration{0};
     }
     const auto seconds = m_rate > 0.0 ? (1.0 - m_level) / m_rate : MAX_WAIT_SECONDS;
-    return std::chrono::duration_cast<base::duration>(
-            std::chrono::duration<double>(std::min(seconds, MAX_WAIT_SECONDS)));
+    return base::fromSeconds(std::min(seconds, MAX_WAIT_SECONDS));
 }
 
 } // namespace hawthornpick::limits
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -9,11 +9,6 @@
 //! Weight of one new sample in the mean service time.
 constexpr double SERVICE_TIME_SMOOTHING = 0.05;
 
-auto seconds(double value) -> base::duration
-{
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(value));
-}
-
 } // namespace
 
 fair_queue::fair_queue(std::uint32_t queuePerSlot) : m_queuePerSlot(queuePerSlot) {}
@@ -31,7 +26,8 @@
         if (m_waiting == 0 && upstream != m_upstreams.end()) {
             return occupy(upstream, request.attempt, now);
         }
-        if (now + expectedWait(request) + seconds(m_meanServiceSeconds) > request.deadline) {
+        if (now + expectedWait(request) + base::fromSeconds(m_meanServiceSeconds)
+            > request.deadline) {
             return base::fail(base::error_kind::DeadlineBeforeStart);
         }
         if (m_waiting >= capacity() && !makeRoom(request, resumed)) {
@@ -153,7 +149,7 @@
         busy += upstream.admission.usableSlots > 0 ? upstream.busy : 0;
     }
     return {usableSlots(), busy, static_cast<std::uint32_t>(m_waiting),
-            seconds(m_meanServiceSeconds)};
+            base::fromSeconds(m_meanServiceSeconds)};
 }
 
 auto fair_queue::idle() const -> bool
@@ -223,7 +219,7 @@
     const double own = std::max(request.weight, 1U);
     const double turns = ahead * std::max(weights, own) / own;
     const double before = std::min(turns, static_cast<double>(m_waiting));
-    return seconds((before + 1.0) / slots * m_meanServiceSeconds);
+    return base::fromSeconds((before + 1.0) / slots * m_meanServiceSeconds);
 }
 
 auto fair_queue::capacity() const -> std::size_t
@@ -405,7 +401,7 @@
 
 auto fair_queue::cannotFinish(const slot_request &request, base::time_point now) const -> bool
 {
-    return now + seconds(m_meanServiceSeconds) > request.deadline;
+    return now + base::fromSeconds(m_meanServiceSeconds) > request.deadline;
 }
 
 auto fair_queue::resumeAll(resumptions &list) -> void
--- a/src/policy/internal/latencymodel.cpp
+++ b/src/policy/internal/latencymodel.cpp
@@ -77,14 +77,14 @@
     const auto known = parametersOf(route, target);
     const double score = boost::math::quantile(standardNormal(), share);
     const double seconds = std::exp(known.logMean + score * std::sqrt(known.logVariance));
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+    return base::fromSeconds(seconds);
 }
 
 auto latency_model::mean(const base::route_id &route, base::duration target) const -> base::duration
 {
     const auto known = parametersOf(route, target);
     const double seconds = std::exp(known.logMean + known.logVariance / 2.0);
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+    return base::fromSeconds(seconds);
 }
 
 } // namespace hawthornpick::policy
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -35,6 +35,12 @@
     return kind == base::error_kind::PeerUnreachable || kind == base::error_kind::OutcomeUnknown;
 }
 
+auto isExcluded(const placement_request &request, const base::node_id &node) -> bool
+{
+    const auto &excluded = request.excluded;
+    return std::find(excluded.begin(), excluded.end(), node) != excluded.end();
+}
+
 } // namespace
 
 placement::placement(placement_settings settings, std::uint64_t seed)
@@ -50,21 +56,20 @@
     bool hasPaused = false;
     bool hasDoubtful = false;
     for (const auto &place : view.upstreamsOf(request.service)) {
-        const auto &excluded = request.excluded;
-        const bool isExcluded =
-                std::find(excluded.begin(), excluded.end(), place.node->id) != excluded.end();
-        if (place.upstream->state != membership::upstream_state::Ready || isExcluded) {
+        if (place.upstream->state != membership::upstream_state::Ready
+            || isExcluded(request, place.node->id)) {
             continue;
         }
         if (isPathPaused(place.node->id, now)) {
             hasPaused = true;
             continue;
         }
-        if (!request.idempotent && believedHealth(place, request, now) < MIN_HEALTH_ONCE) {
+        const auto &state = knownState(place.node->id, request.service);
+        if (!request.idempotent && healthOf(state, now) < MIN_HEALTH_ONCE) {
             hasDoubtful = true;
             continue;
         }
-        const auto value = valueOf(place, request, now) + VALUE_NOISE * m_random.unit();
+        const auto value = valueOf(place, state, request, now) + VALUE_NOISE * m_random.unit();
         if (value > NO_VALUE / 2 && (best == nullptr || value > bestValue)) {
             best = place.node;
             bestSlots = place.upstream->slots;
@@ -91,13 +96,11 @@
     return placed_request{best, health, wait};
 }
 
-auto placement::occupy(const membership::node_entry &node, const base::service_id &service)
-        -> place_state &
+auto placement::occupy(const membership::node_entry &node, const base::service_id &service) -> void
 {
     auto &state = m_places[{node.id, service}];
     ++state.underWay;
     ++state.sinceReport;
-    return state;
 }
 
 // Requests a second.
@@ -119,9 +122,8 @@
             || isPathPaused(place.node->id, now)) {
             continue;
         }
-        const auto known = m_places.find({place.node->id, request.service});
-        const bool isUnheard = known == m_places.end() || trustIn(known->second, now) <= 0.0;
-        if (isUnheard || known->second.load.health < DOUBTFUL_HEALTH) {
+        const auto &state = knownState(place.node->id, request.service);
+        if (trustIn(state, now) <= 0.0 || state.load.health < DOUBTFUL_HEALTH) {
             places.push_back(place.node);
         }
     }
@@ -144,28 +146,24 @@
         return nullptr;
     }
     const auto *node = places.at(m_random.below(places.size()));
-    const auto &excluded = request.excluded;
-    if (std::find(excluded.begin(), excluded.end(), node->id) != excluded.end()) {
+    if (isExcluded(request, node->id)) {
         return nullptr;
     }
     occupy(*node, request.service);
     return node;
 }
 
-auto placement::believedHealth(const membership::upstream_place &place,
-                               const placement_request &request, base::time_point now) const
-        -> double
+auto placement::knownState(const base::node_id &node, const base::service_id &service) const
+        -> const place_state &
 {
-    const auto position = m_places.find({place.node->id, request.service});
-    return position == m_places.end() ? PRIOR_HEALTH : healthOf(position->second, now);
+    static const place_state unknown;
+    const auto position = m_places.find({node, service});
+    return position == m_places.end() ? unknown : position->second;
 }
 
-auto placement::valueOf(const membership::upstream_place &place, const placement_request &request,
-                        base::time_point now) const -> double
+auto placement::valueOf(const membership::upstream_place &place, const place_state &state,
+                        const placement_request &request, base::time_point now) const -> double
 {
-    static const place_state unknown;
-    const auto position = m_places.find({place.node->id, request.service});
-    const auto &state = position == m_places.end() ? unknown : position->second;
     auto left = request.target - now;
     if (place.node->region != m_settings.region) {
         left -= REGION_ROUND_TRIP;
@@ -275,7 +273,7 @@
     if (load || !failure) {
         m_paths.erase(node);
     }
-    if (failure && !load && base::answerFor(*failure).result == base::outcome::NotRun) {
+    if (failure && !load && base::isNotRun(*failure)) {
         state.refusedUntil = now + REFUSAL_PAUSE;
     }
 }
--- a/src/policy/internal/urgencyqueue.cpp
+++ b/src/policy/internal/urgencyqueue.cpp
@@ -11,14 +11,9 @@
 //! than about this part of the mean.
 constexpr double NEEDED_PART = 0.6;
 
-auto seconds(double value) -> base::duration
-{
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(value));
-}
-
 auto scaled(base::duration span, double factor) -> base::duration
 {
-    return seconds(base::toSeconds(span) * factor);
+    return base::fromSeconds(base::toSeconds(span) * factor);
 }
 
 } // namespace
@@ -142,7 +137,7 @@
             ahead += base::toSeconds(item.request.expected);
         }
     }
-    return seconds(ahead / slots);
+    return base::fromSeconds(ahead / slots);
 }
 
 auto urgency_queue::release(const slot_grant &grant, bool succeeded, base::time_point now) -> void
@@ -254,7 +249,7 @@
         busy += upstream.busy;
     }
     return {usableSlots(), busy, static_cast<std::uint32_t>(m_waiting.size()),
-            seconds(m_meanServiceSeconds)};
+            base::fromSeconds(m_meanServiceSeconds)};
 }
 
 } // namespace hawthornpick::policy
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -128,16 +128,15 @@
     };
     using place_key = std::pair<base::node_id, base::service_id>;
 
-    auto occupy(const membership::node_entry &node, const base::service_id &service)
-            -> place_state &;
+    auto occupy(const membership::node_entry &node, const base::service_id &service) -> void;
     auto rateOf(const base::service_id &service, base::time_point now) -> double;
     [[nodiscard]] auto doubtfulPlaces(const membership::view &view,
                                       const placement_request &request, base::time_point now) const
             -> std::vector<const membership::node_entry *>;
-    [[nodiscard]] auto believedHealth(const membership::upstream_place &place,
-                                      const placement_request &request, base::time_point now) const
-            -> double;
-    [[nodiscard]] auto valueOf(const membership::upstream_place &place,
+    // A place about which nothing is known has no trusted report.
+    [[nodiscard]] auto knownState(const base::node_id &node, const base::service_id &service) const
+            -> const place_state &;
+    [[nodiscard]] auto valueOf(const membership::upstream_place &place, const place_state &state,
                                const placement_request &request, base::time_point now) const
             -> double;
     [[nodiscard]] auto waitAt(const place_state &state, std::uint32_t usable, double busy) const
--- a/src/policy/tests/failuredetectortest.cpp
+++ b/src/policy/tests/failuredetectortest.cpp
@@ -114,8 +114,7 @@
                            || m_random.chance(fake.failureRate);
         std::lognormal_distribution<double> latency(std::log(0.03 * fake.slowness), 0.5);
         std::mt19937_64 engine(m_random.bits());
-        const auto span = std::chrono::duration_cast<base::duration>(
-                std::chrono::duration<double>(latency(engine)));
+        const auto span = base::fromSeconds(latency(engine));
         m_running.emplace(
                 network.now() + span,
                 running_request{node, start.attempt,
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -19,7 +19,8 @@
 auto endingOf(const exchange_result &result) -> attempt_ending
 {
     if (!result.failure) {
-        return result.status >= 500 ? attempt_ending::ServerError : attempt_ending::Answered;
+        return base::isServerError(result.status) ? attempt_ending::ServerError
+                                                  : attempt_ending::Answered;
     }
     switch (result.failure->kind) {
     case error_kind::UpstreamUnreachable:
@@ -131,11 +132,8 @@
     if (snapshot.version() < request.configVersion) {
         return base::fail(error_kind::ConfigNotCurrent);
     }
-    const auto &routes = snapshot.set().routes;
-    const auto route = std::lower_bound(
-            routes.begin(), routes.end(), request.route,
-            [](const config::route &item, const base::route_id &id) { return item.id < id; });
-    if (route == routes.end() || route->id != request.route) {
+    const auto *route = config::findRoute(snapshot.set(), request.route);
+    if (route == nullptr) {
         return base::fail(error_kind::NoRoute);
     }
     if (route->access == config::route_access::Open) {
@@ -201,7 +199,7 @@
         co_return attempt_result{target.error(), false, {}};
     }
     const auto outcome = co_await runStarted(request, **target, source, sink, cancel);
-    if (!outcome.failure && outcome.status < 500) {
+    if (!outcome.failure && !base::isServerError(outcome.status)) {
         slot->markSucceeded();
     }
     co_return attempt_result{outcome.failure, outcome.answerStarted, {}};
--- a/tests/faultproxy/proxy.cpp
+++ b/tests/faultproxy/proxy.cpp
@@ -177,9 +177,8 @@
             self->m_relayedBytes += chunk.bytes.size();
             if (faults.bytesPerSecond > 0) {
                 co_await self->pause(
-                        std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(
-                                static_cast<double>(chunk.bytes.size())
-                                / static_cast<double>(faults.bytesPerSecond))));
+                        base::fromSeconds(static_cast<double>(chunk.bytes.size())
+                                          / static_cast<double>(faults.bytesPerSecond)));
             }
         }
         closeBoth(*item);
--- a/tests/measure/benchlimits.cpp
+++ b/tests/measure/benchlimits.cpp
@@ -126,7 +126,7 @@
     auto gap(const customer &item) -> base::duration
     {
         const auto seconds = -std::log(1.0 - fleet.random().unit()) / item.demand;
-        return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
+        return base::fromSeconds(seconds);
     }
 
     auto requestsDue() -> void
--- a/tests/measure/detectionrun.h
+++ b/tests/measure/detectionrun.h
@@ -41,11 +41,6 @@
     return ORGANISATION_SHARES.size() - 1;
 }
 
-inline auto toDuration(double seconds) -> base::duration
-{
-    return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
-}
-
 //! State of one fake upstream.
 struct fake_behaviour
 {
@@ -106,7 +101,7 @@
         std::vector<base::node_id> ids;
         for (std::size_t i = 0; i < size.upstreams; ++i) {
             ids.emplace_back("n" + std::to_string(i));
-            m_nextArrival.push_back(m_network.now() + toDuration(m_random.unit() / m_rate));
+            m_nextArrival.push_back(m_network.now() + base::fromSeconds(m_random.unit() / m_rate));
         }
         for (std::size_t i = 0; i < size.upstreams && kind == detector_kind::Cusum; ++i) {
             auto detector = std::make_unique<policy::failure_detector>(
@@ -127,7 +122,7 @@
     //! reset. `onVerdict` may end the run by returning false.
     auto run(double seconds, const std::function<bool(std::size_t upstream)> &onVerdict) -> int
     {
-        const auto end = m_network.now() + toDuration(seconds);
+        const auto end = m_network.now() + base::fromSeconds(seconds);
         int verdicts = 0;
         while (m_network.now() < end) {
             m_network.run(STEP);
@@ -181,7 +176,8 @@
             } else if (m_nextArrival[index] <= m_network.now()) {
                 start(index, m_nextArrival[index]);
                 // Selection by two choices spreads requests more evenly than a Poisson process.
-                m_nextArrival[index] += toDuration((0.5 + m_random.unit()) / (m_rate * burst));
+                m_nextArrival[index] +=
+                        base::fromSeconds((0.5 + m_random.unit()) / (m_rate * burst));
             } else {
                 return;
             }
@@ -210,7 +206,7 @@
         const bool timesOut = seconds >= TIMEOUT_SECONDS;
         const bool fails = timesOut || failingOrganisation == organisation
                            || m_random.chance(fake.failureRate);
-        m_running[index].emplace(at + toDuration(std::min(seconds, TIMEOUT_SECONDS)),
+        m_running[index].emplace(at + base::fromSeconds(std::min(seconds, TIMEOUT_SECONDS)),
                                  running_request{attempt, at, fails, timesOut});
     }
 
--- a/tests/measure/queuerun.h
+++ b/tests/measure/queuerun.h
@@ -113,7 +113,7 @@
     auto run(double seconds) -> queue_result
     {
         const auto begin = m_now;
-        const auto end = m_now + toDuration(seconds);
+        const auto end = m_now + base::fromSeconds(seconds);
         m_end = end;
         schedule(m_now, [this, end] { arrive(end); });
         while (!m_events.empty()) {
@@ -188,7 +188,7 @@
             m_budget.onFirstAttempt(nameOf(organisation));
             dispatch(item);
         }
-        schedule(m_now + toDuration(-std::log(1.0 - m_random.unit()) / m_rate),
+        schedule(m_now + base::fromSeconds(-std::log(1.0 - m_random.unit()) / m_rate),
                  [this, end] { arrive(end); });
     }
 
@@ -216,7 +216,8 @@
             return;
         }
         const policy::slot_request wanted{item->attempt, nameOf(item->organisation), 1,
-                                          item->arrived + toDuration(DEADLINE_SECONDS), true};
+                                          item->arrived + base::fromSeconds(DEADLINE_SECONDS),
+                                          true};
         const auto resume = [this, item, target](const base::result<policy::slot_grant> &value) {
             value ? start(item, target, *value) : refuse(item, target, value.error().kind);
         };
@@ -231,7 +232,7 @@
     auto start(const request_pointer &item, std::size_t target, const policy::slot_grant &grant)
             -> void
     {
-        schedule(m_now + toDuration(item->serviceSeconds), [this, item, target, grant] {
+        schedule(m_now + base::fromSeconds(item->serviceSeconds), [this, item, target, grant] {
             m_queues[target]->release(grant, true, m_now);
             m_selectors[item->entry]->onAnswer(SERVICE, nodeOf(target), m_queues[target]->load(),
                                                m_now);
@@ -267,7 +268,7 @@
 
     auto startPlain(const request_pointer &item, std::size_t target) -> void
     {
-        schedule(m_now + toDuration(item->serviceSeconds), [this, item, target] {
+        schedule(m_now + base::fromSeconds(item->serviceSeconds), [this, item, target] {
             complete(item);
             if (m_fifo[target].empty()) {
                 --m_busy[target];
