caller: end the request after a replayed response

Cause: after launchAttempt had replayed a stored idempotent response, runAttempts waited for the end of an attempt that had never started. The connection got no further response. Ruled out: the writer; the replayed response itself was complete. Change: runAttempts returns if no attempt was launched. Result: connectionServesTheNextRequestAfterAReplayedResponse failed before (no second response in 5 s) and passes.

--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -82,7 +82,7 @@
     return {*m_entryContext.fleet(),
             m_service,
             m_request.idempotent,
-            m_request.body.size(),
+            m_request.contentLength.value_or(m_request.body.size()),
             m_excludedNodes,
             m_request.organisation,
             m_request.route,
@@ -139,6 +139,10 @@
     if (auto refused = co_await launchAttempt(*firstNode)) {
         co_return refused;
     }
+    if (m_attempts.runningCount() == 0) {
+        // A stored response was replayed instead of an attempt.
+        co_return std::nullopt;
+    }
     co_await launchProbe();
     while (true) {
         const auto ended = co_await waitForEndedAttempt();
--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -1,6 +1,7 @@
 #include "caller/tests/rawclient.h"
 #include "caller/tests/scriptedupstream.h"
 #include "caller/tests/testnode.h"
+#include "upstream/wirecodec.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -128,6 +129,35 @@
     CHECK_EQUAL(2, selections.load());
 }
 
+// Guards against a connection that gets no further response after the replay of a stored response:
+// no attempt runs for a replay, so nothing may wait for one to end.
+TEST(request_path_test, connectionServesTheNextRequestAfterAReplayedResponse)
+{
+    scripted_upstream upstream(respondWith("fresh"));
+    const auto adjustHooks = [](caller::entry_hooks &hooks) {
+        hooks.idempotency.claim = [](caller::idempotency_request)
+                -> boost::asio::awaitable<caller::idempotency_claim> {
+            upstream::answer_start stored;
+            stored.status = 200;
+            stored.body = "stored";
+            stored.contentLength = stored.body.size();
+            stored.bodyComplete = true;
+            const upstream::answer_opening opening{{}, stored, {}};
+            co_return caller::idempotency_replay{upstream::encodeOpening(opening)};
+        };
+    };
+    test_node node("n1", testConfiguration(), 100, adjustHooks);
+    node.announce("u1", upstream.port());
+    raw_client client(node.port());
+    client.send("POST /pay HTTP/1.1\r\nHost: x\r\nX-Api-Key: k-secret\r\n"
+                "Idempotency-Key: a\r\nContent-Length: 1\r\n\r\na");
+    const auto replayed = client.readResponse();
+    STRCMP_CONTAINS("Idempotency-Replayed: true\r\n", replayed.c_str());
+    STRCMP_CONTAINS("\r\n\r\nstored", replayed.c_str());
+    client.send("GET /open HTTP/1.1\r\nHost: x\r\n\r\n");
+    STRCMP_CONTAINS("\r\n\r\nfresh", client.readResponse().c_str());
+}
+
 // Guards against a caller that gets no response when the node stops while its request is in
 // flight. The response must say that the outcome is unknown.
 TEST(request_path_test, abandonedRequestsGetAFinalResponse)
