Serve uploads: routes with large bodies

An executing node also ignored the reset of a stream whose body it had consumed, so the upstream worked on for a caller that had left. Change: the property large_bodies of a route. Such a request is refused before its body is read if nothing can take it; up to 512 KB are buffered within 16 MB a thread before it is placed; placement weighs the announced length. stream::onFailure lets the executing node cancel an attempt at once. The fingerprint no longer depends on how much is buffered. Up to 1 MB of input is discarded after a refusal, so that the refusal arrives.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -279,6 +279,10 @@
         hooks.selectNode = [this](const caller::selection_request &request) {
             return select(request);
         };
+        hooks.checkPlaceable = [this](const caller::selection_request &request) {
+            return m_placement.checkPlaceable(request.view, placementRequest(request),
+                                              base::clock::now());
+        };
         hooks.onAttemptEnd = [this](const caller::attempt_report &report) {
             onAttemptEnd(report);
         };
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -20,7 +20,7 @@
     const membership::view &view;
     const config::service &service;
     bool idempotent = false;
-    //! Number of request body bytes that the entry node has buffered.
+    //! Length of the request body; for one of unknown length, the number of bytes buffered.
     std::uint64_t bodyBytes = 0;
     //! Nodes that must not be chosen, such as those that refused this request or failed it.
     std::vector<base::node_id> excludedNodes;
@@ -191,6 +191,8 @@
     //! Chooses the node for the next attempt. Errors: `NoUpstream`, `UpstreamEjected`, `QueueFull`,
     //! `RegionLinkBusy`.
     std::function<base::result<chosen_node>(const selection_request &request)> selectNode;
+    //! Returns the error that `selectNode` would return now, without choosing a node.
+    std::function<base::result<void>(const selection_request &request)> checkPlaceable;
     //! Chooses a node to probe with a parallel attempt of the request; empty if none is due.
     std::function<std::optional<chosen_node>(const selection_request &request)> chooseTrial;
     //! Called before the first attempt of each request; adds it to the retry budget.
--- a/src/caller/internal/connection.cpp
+++ b/src/caller/internal/connection.cpp
@@ -16,7 +16,7 @@
 
 constexpr std::string_view HEAD_END = "\r\n\r\n";
 constexpr base::milliseconds DISCARD_TIMEOUT{1'000};
-constexpr std::size_t MAX_DISCARDED_BYTES = 256UL * 1024;
+constexpr std::size_t MAX_DISCARDED_BYTES = 1024UL * 1024;
 
 auto unreadInput(caller_input &input) -> std::string_view
 {
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -17,9 +17,13 @@
 
 namespace {
 
-// Longer bodies are streamed, which excludes a retry. Only the buffered part enters the
-// fingerprint.
+// Longer bodies are streamed, which excludes a retry.
 constexpr std::size_t MAX_BUFFERED_BODY_BYTES = 64UL * 1024;
+// The same limit for routes with large bodies. A body within it can be placed again after a
+// refusal, and its caller may send slowly without occupying a slot of an upstream.
+constexpr std::size_t MAX_BUFFERED_LARGE_BODY_BYTES = 512UL * 1024;
+// Start of a body that enters the fingerprint.
+constexpr std::size_t MAX_FINGERPRINT_BODY_BYTES = 64UL * 1024;
 constexpr std::size_t MAX_REQUEST_ID_BYTES = 128;
 // Number of route priorities within one priority of an organisation.
 constexpr std::uint32_t ROUTE_PRIORITY_COUNT = 4;
@@ -40,13 +44,21 @@
 }
 
 // Identifies a request that crashes upstreams, and the content of a request with an
-// Idempotency-Key. Fields are separated by bytes that they cannot contain.
-auto computeFingerprint(const upstream::attempt_request &request) -> base::digest256
+// Idempotency-Key. Fields are separated by bytes that they cannot contain. The digest does not
+// depend on how much of the body is buffered, which differs with the memory that is free.
+auto computeFingerprint(const upstream::attempt_request &request, const request_head &head)
+        -> base::digest256
 {
     std::string text = request.organisation.str() + '\n' + request.route.str() + '\n'
                        + request.method + ' ' + request.target + '\n';
-    text += request.contentLength ? std::to_string(*request.contentLength) : "chunked";
-    text += '\n' + request.body;
+    const bool isShort = request.bodyComplete && request.body.size() < MAX_FINGERPRINT_BODY_BYTES;
+    if (isShort) {
+        text += std::to_string(request.body.size());
+    } else {
+        text += head.framing == body_framing::Length ? std::to_string(head.contentLength)
+                                                     : "chunked";
+    }
+    text.append("\n").append(request.body, 0, MAX_FINGERPRINT_BODY_BYTES);
     return base::sha256(text);
 }
 
@@ -340,16 +352,55 @@
     return m_arrival + timeout;
 }
 
+// A caller that is about to send a large body, or waits for permission to send it, is refused
+// before that if no upstream can take the request.
+auto request_handler::checkPlaceable() -> optional_refusal
+{
+    const auto &checkPlaceable = m_entryContext.dependencies().hooks.checkPlaceable;
+    const bool hasBody = m_head.framing != body_framing::None;
+    if (!checkPlaceable || !hasBody || !(m_route->hasLargeBodies || m_head.expectsContinue)) {
+        return {};
+    }
+    auto placeable = checkPlaceable(makeSelectionRequest());
+    if (placeable) {
+        return {};
+    }
+    return makeFinalRefusal(std::move(placeable.error()));
+}
+
+// Returns the number of bytes to buffer before the request is placed.
+auto request_handler::reserveBodyBuffer() -> std::size_t
+{
+    if (!m_route->hasLargeBodies || m_head.framing == body_framing::None) {
+        return MAX_BUFFERED_BODY_BYTES;
+    }
+    const auto wantedBytes =
+            m_head.framing == body_framing::Length
+                    ? std::min<std::uint64_t>(m_head.contentLength, MAX_BUFFERED_LARGE_BODY_BYTES)
+                    : MAX_BUFFERED_LARGE_BODY_BYTES;
+    m_bodyBuffer.emplace(m_entryContext.largeBodyBuffers(), wantedBytes);
+    return std::max(m_bodyBuffer->bytes(), MAX_BUFFERED_BODY_BYTES);
+}
+
 auto request_handler::readBodyStart() -> asio::awaitable<optional_refusal>
 {
     m_request.deadline = deadline();
+    m_request.service = m_service.id;
+    m_request.route = m_route->id;
+    m_request.idempotent = m_route->idempotent;
+    if (m_head.framing == body_framing::Length) {
+        m_request.contentLength = m_head.contentLength;
+    }
+    if (auto refused = checkPlaceable()) {
+        co_return refused;
+    }
     m_body.emplace(m_input, m_parser, m_route->maxBodyBytes, m_request.deadline);
     if (m_head.expectsContinue && m_input.buffer().size() == 0) {
         if (const auto sent = co_await m_writer.sendContinue(); !sent) {
             co_return refusal{sent.error(), {}};
         }
     }
-    auto body = co_await m_body->readAtLeast(MAX_BUFFERED_BODY_BYTES);
+    auto body = co_await m_body->readAtLeast(reserveBodyBuffer());
     if (!body) {
         co_return refusal{body.error(), {}};
     }
@@ -362,9 +413,6 @@
     boost::system::error_code ignored;
     const auto callerAddress = m_input.socket().remote_endpoint(ignored).address().to_string();
     m_request.configVersion = m_snapshot->version();
-    m_request.service = m_service.id;
-    m_request.route = m_route->id;
-    m_request.idempotent = m_route->idempotent;
     m_request.method = m_head.method;
     m_request.target = m_head.target;
     const auto &wire = m_entryContext.dependencies().wire;
@@ -379,11 +427,9 @@
     m_request.bodyComplete = m_body->complete();
     if (m_request.bodyComplete) {
         m_request.contentLength = body.size();
-    } else if (m_head.framing == body_framing::Length) {
-        m_request.contentLength = m_head.contentLength;
     }
     m_request.body = std::move(body);
-    m_request.fingerprint = computeFingerprint(m_request);
+    m_request.fingerprint = computeFingerprint(m_request, m_head);
     m_request.answerBy = targetTime();
     m_request.priority = priority();
 }
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "caller/hooks.h"
 #include "caller/internal/attemptset.h"
+#include "caller/internal/bodybufferbudget.h"
 #include "caller/internal/idempotencysession.h"
 #include "caller/internal/requestbody.h"
 #include "caller/internal/requesthead.h"
@@ -40,12 +41,17 @@
     auto configuration() -> const config::snapshot_pointer & { return m_configuration.current(); }
     auto fleet() -> const membership::view_pointer & { return m_fleet.current(); }
     auto random() -> base::random_source & { return m_random; }
+    auto largeBodyBuffers() -> body_buffer_budget & { return m_largeBodyBuffers; }
 
 private:
+    //! Memory for large request bodies, which the copies for attempts can triple.
+    static constexpr std::size_t LARGE_BODY_BUFFER_BYTES = 16UL * 1024 * 1024;
+
     entry_dependencies m_dependencies;
     base::snapshot_reader<config::snapshot> m_configuration;
     base::snapshot_reader<membership::view> m_fleet;
     base::random_source m_random;
+    body_buffer_budget m_largeBodyBuffers{LARGE_BODY_BUFFER_BYTES};
 };
 
 //! Refusal or failure of a request, with the time after which a retry may succeed.
@@ -82,7 +88,9 @@
     auto authenticate() -> optional_refusal;
     auto checkIdempotencyKey() -> optional_refusal;
     auto checkRateLimit() -> task<optional_refusal>;
+    auto checkPlaceable() -> optional_refusal;
     auto readBodyStart() -> task<optional_refusal>;
+    auto reserveBodyBuffer() -> std::size_t;
     auto buildAttemptRequest(std::string body) -> void;
     auto deadline() const -> base::time_point;
     auto readRemainingBody() -> task<base::result<std::string>>;
@@ -127,6 +135,8 @@
     const config::route *m_route = nullptr;
     config::service m_service;
     std::optional<request_body> m_body;
+    // Memory for the buffered start of a large body.
+    std::optional<body_buffer_budget::reservation> m_bodyBuffer;
     upstream::attempt_request m_request;
     upstream::cancellation m_cancel;
     // Nodes that refused the request; never chosen again.
--- a/src/config/idl/configwire.thrift
+++ b/src/config/idl/configwire.thrift
@@ -46,6 +46,7 @@
   13: i64 priority
   14: i64 max_attempts
   15: list<weighted_service> split
+  16: bool large_bodies
 }
 
 struct caller_limits {
--- a/src/config/internal/declaration.cpp
+++ b/src/config/internal/declaration.cpp
@@ -211,6 +211,7 @@
         item.deadline =
                 reader.wholeMilliseconds("deadline_ms", item.deadline, 1ms, MAX_DECLARED_TIMEOUT);
         item.maxBodyBytes = reader.wholeNumber("max_body_bytes", item.maxBodyBytes, 0, 1ULL << 32U);
+        item.hasLargeBodies = reader.flag("large_bodies", item.hasLargeBodies);
         item.targetLatency = reader.wholeMilliseconds("target_latency_ms", item.targetLatency, 0ms,
                                                       MAX_DECLARED_TIMEOUT);
         item.priority =
--- a/src/config/internal/model.cpp
+++ b/src/config/internal/model.cpp
@@ -85,6 +85,7 @@
         wirePart.weight = part.weight;
         out.split.push_back(std::move(wirePart));
     }
+    out.large_bodies = item.hasLargeBodies;
     return out;
 }
 
@@ -148,7 +149,8 @@
             base::milliseconds(item.target_latency_ms),
             static_cast<std::uint32_t>(item.priority),
             static_cast<std::uint32_t>(item.max_attempts),
-            fromWire(item.split)};
+            fromWire(item.split),
+            item.large_bodies};
 }
 
 } // namespace
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -106,6 +106,9 @@
     std::uint32_t maxAttempts = 0;
     //! Weighted targets; empty if all requests go to `service`.
     std::vector<weighted_service> split = {};
+    //! True if callers send large bodies on this route. The entry node refuses a request that can't
+    //! be placed before it reads the body, and buffers more of the body before it sends an attempt.
+    bool hasLargeBodies = false;
 
     //! Returns the response latency up to which an answer has its full value.
     [[nodiscard]] auto effectiveTarget() const -> base::milliseconds
--- a/src/config/tests/declarationtest.cpp
+++ b/src/config/tests/declarationtest.cpp
@@ -122,6 +122,17 @@
             "once in a section"));
 }
 
+// Guards against a route with large bodies that loses this property in the file or in the encoding.
+TEST(declaration, largeBodiesAreDeclaredAndEncoded)
+{
+    const auto result = parse(VALID + "large_bodies = yes\n");
+    CHECK(result.has_value());
+    CHECK(result->routes.at(0).hasLargeBodies);
+    CHECK(!result->routes.at(1).hasLargeBodies);
+    CHECK(decode(encode(*result)) == *result);
+    CHECK(hasError(parse(VALID + "large_bodies = huge\n"), "large_bodies"));
+}
+
 // Guards against an encoding that depends on the order of the files. Equal sets would then have
 // different digests, and a concurrent resend would be taken for a different change.
 TEST(declaration, encodingIsCanonicalAndReversible)
--- a/src/peer/internal/connection.cpp
+++ b/src/peer/internal/connection.cpp
@@ -64,6 +64,9 @@
     }
     eventArrived.cancel();
     windowOpened.cancel();
+    if (onFailure) {
+        asio::post(link->executor(), std::exchange(onFailure, nullptr));
+    }
 }
 
 connection::connection(asio::ip::tcp::socket socket, const link_identity &identity,
--- a/src/peer/internal/connection.h
+++ b/src/peer/internal/connection.h
@@ -62,6 +62,8 @@
     //! for send window.
     boost::asio::steady_timer eventArrived;
     boost::asio::steady_timer windowOpened;
+    //! Posted once by `fail`.
+    std::function<void()> onFailure;
 
     //! Ends both directions locally and wakes waiting coroutines.
     auto fail(base::error reason) -> void;
--- a/src/peer/internal/link.cpp
+++ b/src/peer/internal/link.cpp
@@ -352,6 +352,11 @@
     return m_state->link->receive(m_state);
 }
 
+auto stream::onFailure(std::function<void()> action) -> void
+{
+    m_state->onFailure = std::move(action);
+}
+
 auto stream::reset(base::error_kind reason) -> void
 {
     m_state->link->reset(m_state, reason);
--- a/src/peer/link.h
+++ b/src/peer/link.h
@@ -77,6 +77,10 @@
     //! error. Errors: as `sendHead`.
     auto receive() -> boost::asio::awaitable<base::result<stream_event>>;
 
+    //! Sets a function that is called once when the stream fails or is reset by either side, also
+    //! while received events have not been consumed.
+    auto onFailure(std::function<void()> action) -> void;
+
     //! Ends both directions immediately; the peer's pending calls fail with `reason`. Idempotent.
     auto reset(base::error_kind reason) -> void;
 
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace hawthornpick::policy {
 
@@ -49,12 +50,11 @@
     : m_settings(std::move(settings)), m_random(seed)
 {}
 
-auto placement::choose(const membership::view &view, const placement_request &request,
-                       base::time_point now) -> base::result<placed_request>
+auto placement::findBest(const membership::view &view, const placement_request &request,
+                         base::time_point now) -> base::result<membership::upstream_place>
 {
-    const membership::node_entry *best = nullptr;
+    std::optional<membership::upstream_place> best;
     double bestScore = 0.0;
-    std::uint32_t bestSlots = 1;
     bool hasPathInBackoff = false;
     bool hasLowHealth = false;
     for (const auto &place : view.upstreamsOf(request.service)) {
@@ -72,31 +72,48 @@
             continue;
         }
         const auto score = scoreOf(place, state, request, now) + SCORE_NOISE * m_random.unit();
-        if (score > EXCLUDED_SCORE / 2 && (best == nullptr || score > bestScore)) {
-            best = place.node;
-            bestSlots = place.upstream->slots;
+        if (score > EXCLUDED_SCORE / 2 && (!best || score > bestScore)) {
+            best = place;
             bestScore = score;
         }
     }
-    if (best == nullptr && hasLowHealth) {
+    if (!best && hasLowHealth) {
         return base::fail(base::error_kind::Overloaded,
                           "health of all upstreams of the service below the minimum");
     }
-    if (best == nullptr) {
+    if (!best) {
         return base::fail(
                 hasPathInBackoff ? base::error_kind::PeerUnreachable : base::error_kind::NoUpstream,
                 hasPathInBackoff ? "all paths to upstreams of the service in backoff" : "");
     }
-    auto &state = m_nodeServiceStates[{best->id, request.service}];
+    return *best;
+}
+
+auto placement::checkPlaceable(const membership::view &view, const placement_request &request,
+                               base::time_point now) -> base::result<void>
+{
+    const auto best = findBest(view, request, now);
+    return best ? base::result<void>() : tl::unexpected(best.error());
+}
+
+auto placement::choose(const membership::view &view, const placement_request &request,
+                       base::time_point now) -> base::result<placed_request>
+{
+    const auto best = findBest(view, request, now);
+    if (!best) {
+        return tl::unexpected(best.error());
+    }
+    const auto &node = *best->node;
+    auto &state = m_nodeServiceStates[{node.id, request.service}];
     if (request.idempotent && !request.needsFreeSlot) {
         requestsPerSecond(request.service, now);
         m_requestRates[request.service].decayedCount += 1.0;
     }
-    const auto usableSlots = estimatedUsableSlots(state, bestSlots, now);
+    const auto usableSlots = estimatedUsableSlots(state, best->upstream->slots, now);
     const auto wait = expectedWait(state, usableSlots, estimatedBusySlots(state, usableSlots, now));
     const auto health = estimatedHealth(state, now);
-    countInFlight(*best, request.service);
-    return placed_request{best, health, wait};
+    countInFlight(node, request.service);
+    return placed_request{&node, health, wait};
 }
 
 auto placement::countInFlight(const membership::node_entry &node, const base::service_id &service)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -88,6 +88,11 @@
     auto choose(const membership::view &view, const placement_request &request,
                 base::time_point now) -> base::result<placed_request>;
 
+    //! Returns the error that `choose` would return, without choosing. Lets a caller be refused
+    //! before it sends a large body.
+    auto checkPlaceable(const membership::view &view, const placement_request &request,
+                        base::time_point now) -> base::result<void>;
+
     //! Chooses an upstream that receives a trial request in addition to the request at the chosen
     //! upstream, or null. Candidates are upstreams that stopped responding or have no recent
     //! report; a trial request shows whether they respond again. Together the `entryNodeCount`
@@ -134,6 +139,8 @@
     };
     using node_service_key = std::pair<base::node_id, base::service_id>;
 
+    auto findBest(const membership::view &view, const placement_request &request,
+                  base::time_point now) -> base::result<membership::upstream_place>;
     auto countInFlight(const membership::node_entry &node, const base::service_id &service) -> void;
     auto requestsPerSecond(const base::service_id &service, base::time_point now) -> double;
     [[nodiscard]] auto trialCandidates(const membership::view &view,
--- a/src/upstream/internal/streamserver.cpp
+++ b/src/upstream/internal/streamserver.cpp
@@ -15,7 +15,7 @@
 using base::error_kind;
 
 // Receiving side of a served stream. Its coroutine receives events until the entry node ends or
-// resets the stream, so that a reset is noticed while the upstream processes the request.
+// resets the stream.
 class stream_receiver
 {
 public:
@@ -33,12 +33,20 @@
             open = event && std::holds_alternative<peer::stream_data>(*event);
             if (open) {
                 co_await self->holdPart(std::move(std::get<peer::stream_data>(*event).bytes));
-            } else if (!self->m_bodyConsumed) {
-                self->m_streamEnded = true;
-                self->m_cancel.request(error_kind::CallerGone);
-                self->m_partArrived.notify();
             }
         }
+        self->abandon();
+    }
+
+    // Cancels the attempt once the entry node has reset the stream. The failure of the stream is
+    // observed directly, because no event is received while a part is held.
+    static auto cancelOnFailure(const std::shared_ptr<stream_receiver> &self) -> void
+    {
+        self->m_stream->onFailure([weakSelf = std::weak_ptr(self)] {
+            if (const auto receiver = weakSelf.lock()) {
+                receiver->abandon();
+            }
+        });
     }
 
     auto read() -> asio::awaitable<base::result<std::string>>
@@ -66,6 +74,15 @@
     }
 
 private:
+    // Has no effect on an attempt that has ended.
+    auto abandon() -> void
+    {
+        m_streamEnded = true;
+        m_cancel.request(error_kind::CallerGone);
+        m_partArrived.notify();
+        m_partConsumed.notify();
+    }
+
     // Holds one part until it is read. No further event is received meanwhile, so the flow-control
     // window limits how far the entry node runs ahead of a slow upstream.
     auto holdPart(std::string bytes) -> asio::awaitable<void>
@@ -76,7 +93,7 @@
         }
         m_part = std::move(part);
         m_partArrived.notify();
-        while (m_part && !m_stopped) {
+        while (m_part && !m_stopped && !m_streamEnded) {
             co_await m_partConsumed.wait();
         }
     }
@@ -142,6 +159,7 @@
         co_return;
     }
     const auto receiver = std::make_shared<stream_receiver>(std::move(stream), state->executor());
+    stream_receiver::cancelOnFailure(receiver);
     asio::co_spawn(state->executor(), stream_receiver::receiveEvents(receiver), asio::detached);
     const body_source source{[receiver] { return receiver->read(); },
                              [receiver] {
