fleet: stop the exchange of whole directories from feeding itself

Three causes, each shown by a test that failed on: - A hub kept a record of its own beside that of the node's reporter. Each took the other for a former process of the node and raised the generation in turn: 36 generations in 12 s of repeated elections (recordsOfHubsSettleWhileHubsMove). Every raise went to all nodes, which rebuilt their views. - A hub answered every probe of another node with its whole directory. Change: the hub uses the record of the reporter; probes are answered without the directory; nodes keep their position at each hub and send a digest of 64 groups of nodes to a new one, which returns the groups that differ; a change of the hub in use is announced by that hub, to hubs only, without the rest of the record. The sum of all usage is reused for 50 ms, as it was computed for each report. Node counts on the wire are checked for negative values.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -108,7 +108,7 @@
     }
     quorumSettings.dataFolder = settings.dataFolder;
     m_hub.emplace(
-            fleet::hub_options{quorumSettings.replica.contacts, m_bootId}, nodeRecord(settings),
+            fleet::hub_options{quorumSettings.replica.contacts, m_bootId}, m_reporter,
             [this](base::time_point now) { return m_quorum->isFresh(now, MAX_LEADER_CONTACT_AGE); },
             m_callbacks.isOverLimit);
     m_quorum.emplace(
--- a/src/base/message.h
+++ b/src/base/message.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace hawthornpick::base {
 
@@ -33,6 +34,8 @@
     node_id to;
     channel kind = channel::Membership;
     std::string payload;
+    //! Name of the kind of message within its channel, for metrics; has static storage duration.
+    std::string_view kindName = {};
 
     auto operator<=>(const outgoing_message &) const = default;
 };
--- a/src/fleet/deputy.h
+++ b/src/fleet/deputy.h
@@ -17,8 +17,7 @@
 
     //! Precondition: `localReporter` is the reporter of this node and outlives the object. `bootId`
     //! identifies this process.
-    deputy(std::uint64_t bootId, const reporter &localReporter,
-           hub::over_limit_function isOverLimit)
+    deputy(std::uint64_t bootId, reporter &localReporter, hub::over_limit_function isOverLimit)
         : m_bootId(bootId), m_localReporter(localReporter), m_isOverLimit(std::move(isOverLimit))
     {}
 
@@ -31,7 +30,7 @@
 
 private:
     std::uint64_t m_bootId;
-    const reporter &m_localReporter;
+    reporter &m_localReporter;
     hub::over_limit_function m_isOverLimit;
     std::optional<hub> m_hub;
     base::time_point m_lastReportAt;
--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -3,6 +3,7 @@
 #include "base/message.h"
 #include "base/time.h"
 #include "fleet/recordtable.h"
+#include "fleet/reporter.h"
 
 #include <functional>
 #include <map>
@@ -50,6 +51,8 @@
     static constexpr int MAX_UNANSWERED_REQUESTS = 2;
     //! Time for which other hubs of a region are preferred to one that did not answer.
     static constexpr base::milliseconds FAILED_HUB_BACKOFF{3000};
+    //! Age up to which the sum of all usage is used again.
+    static constexpr base::milliseconds FLEET_USAGE_MAX_AGE{50};
     //! A committed document is pushed to the nodes whose last report is at most this old.
     static constexpr base::milliseconds PUSH_MAX_REPORT_AGE{2000};
 
@@ -59,7 +62,10 @@
 
     //! `isFresh` returns whether the last document passed to `publish` is certainly the newest
     //! committed one.
-    hub(hub_options options, node_record self, std::function<bool(base::time_point)> isFresh,
+    //! Precondition: `localReporter` is the reporter of this node and outlives the object. The node
+    //! has one record, which the reporter keeps: with a record of its own, the hub and the reporter
+    //! would each take the other for a former process of the node and raise the generation in turn.
+    hub(hub_options options, reporter &localReporter, std::function<bool(base::time_point)> isFresh,
         over_limit_function isOverLimit);
 
     auto receive(const base::node_id &from, const message &content, base::time_point now)
@@ -69,7 +75,8 @@
     //! Stores a newer committed document and returns the messages that push it to nodes.
     auto publish(config_document document, base::time_point now) -> messages;
 
-    //! Sets the state of this hub to `Leaving` and returns the messages that announce it.
+    //! Returns the messages that announce the state of this node.
+    //! Precondition: the state of the reporter is `Leaving`.
     auto leave(base::time_point now) -> messages;
 
     //! Merges records that the node received from elsewhere.
@@ -120,18 +127,30 @@
     auto selectQueriedHub(const base::region_id &region, const std::vector<base::node_id> &hubs,
                           base::time_point now) -> base::node_id;
     [[nodiscard]] auto regionOf(const base::node_id &node) const -> base::region_id;
-    [[nodiscard]] auto reporterCount(const base::node_id &hubId) const -> std::size_t;
+    [[nodiscard]] auto answerProbe(const base::node_id &from, const report &content,
+                                   base::time_point now) const -> messages;
+    [[nodiscard]] auto newerDocument(base::config_version version) const
+            -> std::optional<config_document>;
+    auto addDirectoryChanges(report_answer &answer, const report &content) const -> void;
+    //! Number of live entry nodes whose records name each hub.
+    [[nodiscard]] auto reporterCounts() const -> std::map<base::node_id, std::size_t>;
     [[nodiscard]] auto recordsForOtherRegion(const directory_cursor &cursor) const
             -> std::vector<node_record>;
+    [[nodiscard]] auto movesForOtherRegion(const directory_cursor &cursor) const
+            -> std::vector<node_move>;
+    [[nodiscard]] auto isServedByOtherRegion(const base::node_id &reportsTo) const -> bool;
     [[nodiscard]] auto regionUsage(base::time_point now) const -> usage_sum;
     [[nodiscard]] auto fleetUsage(base::time_point now) const -> usage_sum;
+    auto recentFleetUsage(base::time_point now) -> const usage_sum &;
     auto expireSilentReporters(base::time_point now) -> void;
     [[nodiscard]] auto localUsage(base::time_point now) const -> usage_sum;
     [[nodiscard]] auto totalsFor(const base::usage_map &reportedUsages,
-                                 base::usage_map fleetUsages) const -> base::usage_map;
+                                 const base::usage_map &fleetUsages) const -> base::usage_map;
+
+    [[nodiscard]] auto self() const -> const node_record & { return m_reporter.self(); }
 
     hub_options m_options;
-    node_record m_self;
+    reporter &m_reporter;
     std::function<bool(base::time_point)> m_isFresh;
     over_limit_function m_isOverLimit;
     record_table m_records;
@@ -142,6 +161,8 @@
     std::map<base::region_id, region_state> m_otherRegions;
     config_document m_document;
     base::time_point m_nextSyncAt;
+    usage_sum m_fleetUsage;
+    base::time_point m_fleetUsageAt;
 };
 
 } // namespace hawthornpick::fleet
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -40,12 +40,13 @@
   5: list<usage> usages
   // True if the sender only asks whether the hub has the newest version.
   6: bool probe
+  // Digests of the sender's directory; set if the sender has no position in the hub's directory.
+  7: optional binary directory_digest
 }
 
 struct report_answer {
   1: i64 boot
   2: i64 change
-  3: bool whole
   4: list<node_record> records
   5: bool fresh
   6: optional i64 version
@@ -68,6 +69,14 @@
   5: i32 nodes
 }
 
+// A record of which only the hub in use has changed.
+struct node_move {
+  1: string node
+  2: i64 generation
+  3: i64 sequence
+  4: string reports_to
+}
+
 struct sync_answer {
   1: i64 boot
   2: i64 change
@@ -75,6 +84,7 @@
   // Summed usage of the sender's region; set only if the receiver is in another region.
   4: optional list<usage> region_usages
   5: i32 region_nodes
+  6: list<node_move> moves
 }
 
 // Pushed by a hub to its nodes when a version is committed.
--- a/src/fleet/internal/deputy.cpp
+++ b/src/fleet/internal/deputy.cpp
@@ -9,8 +9,10 @@
     if (nodeReport != nullptr && !nodeReport->isProbe) {
         m_lastReportAt = now;
         if (!m_hub) {
+            // Each activation has a directory of its own.
+            ++m_bootId;
             m_hub.emplace(
-                    hub_options{{}, m_bootId, true}, m_localReporter.self(),
+                    hub_options{{}, m_bootId, true}, m_localReporter,
                     [](base::time_point) { return false; }, m_isOverLimit);
         }
         m_hub->mergeRecords(m_localReporter.records());
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -27,13 +27,12 @@
 
 } // namespace
 
-hub::hub(hub_options options, node_record self, std::function<bool(base::time_point)> isFresh,
-         over_limit_function isOverLimit)
-    : m_options(std::move(options)), m_self(std::move(self)), m_isFresh(std::move(isFresh)),
+hub::hub(hub_options options, reporter &localReporter,
+         std::function<bool(base::time_point)> isFresh, over_limit_function isOverLimit)
+    : m_options(std::move(options)), m_reporter(localReporter), m_isFresh(std::move(isFresh)),
       m_isOverLimit(std::move(isOverLimit)), m_records(m_options.bootId)
 {
-    m_self.isHub = !m_options.isDeputy;
-    m_records.merge(m_self);
+    m_records.merge(self());
 }
 
 auto hub::receive(const base::node_id &from, const message &content, base::time_point now)
@@ -75,62 +74,94 @@
 
 auto hub::leave(base::time_point now) -> messages
 {
-    m_self.entry.state = membership::node_state::Leaving;
-    ++m_self.sequence;
-    m_records.merge(m_self);
     return sendSyncRequests(now);
 }
 
 auto hub::onReport(const base::node_id &from, const report &content, base::time_point now)
         -> messages
 {
+    if (content.isProbe) {
+        return answerProbe(from, content, now);
+    }
     report_answer answer;
     answer.isFresh = m_isFresh(now);
-    answer.cursor = content.cursor;
-    if (content.isProbe && !answer.isFresh) {
-        return {toOutgoingMessage(from, answer)};
-    }
     const auto *known = m_records.find(from);
     if (known != nullptr && known->generation > content.sender.generation) {
         // Generations are wall clock times of process starts: the host's clock was set back before
         // the node restarted.
         answer.knownGeneration = known->generation;
     }
-    if (!content.isProbe) {
-        m_records.merge(content.sender);
-        m_reporters[from] = {now, content.usages};
-    }
-    answer.cursor = m_records.cursor();
-    answer.isFullDirectory = content.cursor.bootId != m_options.bootId;
-    answer.records = m_records.changedSince(content.cursor);
-    if (m_document.version > content.configVersion) {
-        answer.document = m_document;
-    }
-    auto sum = fleetUsage(now);
+    m_records.merge(content.sender);
+    m_reporters[from] = {now, content.usages};
+    addDirectoryChanges(answer, content);
+    answer.document = newerDocument(content.configVersion);
+    const auto &sum = recentFleetUsage(now);
     answer.coveredNodeCount = roundToCount(sum.nodeCount);
-    answer.usageTotals = totalsFor(content.usages, std::move(sum.usages));
+    answer.usageTotals = totalsFor(content.usages, sum.usages);
     return {toOutgoingMessage(from, answer)};
 }
 
+// Without the directory, because a node that hears no hub probes all hubs in turn, and hubs that
+// hear the probes may be unable to answer it.
+auto hub::answerProbe(const base::node_id &from, const report &content, base::time_point now) const
+        -> messages
+{
+    report_answer answer;
+    answer.cursor = content.cursor;
+    answer.isFresh = m_isFresh(now);
+    if (answer.isFresh) {
+        answer.document = newerDocument(content.configVersion);
+    }
+    return {toOutgoingMessage(from, answer)};
+}
+
+auto hub::newerDocument(base::config_version version) const -> std::optional<config_document>
+{
+    return m_document.version > version ? std::optional(m_document) : std::nullopt;
+}
+
+// A reader whose position is unknown here gets the records that differ from its directory, not all
+// of them: after the loss of a hub or an election, many nodes change hubs at the same time.
+auto hub::addDirectoryChanges(report_answer &answer, const report &content) const -> void
+{
+    if (m_records.contains(content.cursor)) {
+        answer.records = m_records.changedSince(content.cursor);
+    } else if (content.directoryDigest) {
+        answer.records = m_records.differingFrom(*content.directoryDigest);
+    } else if (content.cursor.bootId != 0) {
+        // The empty position in the answer makes the reader send the digest.
+        return;
+    } else {
+        answer.records = m_records.changedSince({});
+    }
+    answer.cursor = m_records.cursor();
+}
+
 auto hub::onSyncRequest(const base::node_id &from, const sync_request &content,
                         base::time_point now) -> messages
 {
     m_records.merge(content.sender);
-    if (content.sender.entry.region != m_self.entry.region) {
+    if (content.sender.entry.region != self().entry.region) {
         const auto sum = regionUsage(now);
         return {toOutgoingMessage(from, sync_answer{m_records.cursor(),
                                                     recordsForOtherRegion(content.cursor),
-                                                    sum.usages, roundToCount(sum.nodeCount)})};
+                                                    sum.usages, roundToCount(sum.nodeCount),
+                                                    movesForOtherRegion(content.cursor)})};
     }
     auto &peer = m_peers[from];
     peer.lastRequestAt = now;
     peer.usage = {content.localUsages, static_cast<double>(content.localNodeCount)};
-    peer.reporterCount = reporterCount(from);
+    peer.reporterCount = reporterCounts()[from];
     const auto records = m_records.changedSince(content.cursor);
-    if (records.empty()) {
+    auto moves = m_records.movedSince(content.cursor);
+    // The hub in use of the other nodes announces their moves itself.
+    std::erase_if(moves,
+                  [this](const node_move &move) { return move.reportsTo != self().entry.id; });
+    if (records.empty() && moves.empty()) {
         return {};
     }
-    return {toOutgoingMessage(from, sync_answer{m_records.cursor(), records, std::nullopt, 0})};
+    return {toOutgoingMessage(from,
+                              sync_answer{m_records.cursor(), records, std::nullopt, 0, moves})};
 }
 
 auto hub::onSyncAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
@@ -146,27 +177,30 @@
                                 static_cast<double>(content.regionNodeCount)};
     }
     for (const auto &record : content.records) {
-        if (record.entry.id == m_self.entry.id) {
-            // Another process of this host used a higher generation.
-            if (record.isNewerThan(m_self) && !m_options.isDeputy) {
-                m_self.generation = record.generation + 1;
-                m_records.merge(m_self);
-            }
+        if (record.entry.id == self().entry.id) {
+            m_reporter.supersede(record);
             continue;
         }
-        if (m_records.merge(record) && record.reportsTo != m_self.entry.id) {
+        if (m_records.merge(record) && record.reportsTo != self().entry.id) {
             m_reporters.erase(record.entry.id);
         }
     }
+    for (const auto &move : content.moves) {
+        if (move.node != self().entry.id && m_records.merge(move)
+            && move.reportsTo != self().entry.id) {
+            m_reporters.erase(move.node);
+        }
+    }
 }
 
 auto hub::sendSyncRequests(base::time_point now) -> messages
 {
+    m_records.merge(self());
     auto peers = peersByRegion();
-    auto targets = peers[m_self.entry.region];
+    auto targets = peers[self().entry.region];
     for (const auto &contact : m_options.contacts) {
         // The region of a contact is unknown until its record has been received.
-        if (contact != m_self.entry.id && m_records.find(contact) == nullptr) {
+        if (contact != self().entry.id && m_records.find(contact) == nullptr) {
             targets.push_back(contact);
         }
     }
@@ -174,15 +208,15 @@
     messages out;
     for (const auto &target : targets) {
         out.push_back(
-                toOutgoingMessage(target, sync_request{m_self, m_peers[target].cursor, local.usages,
+                toOutgoingMessage(target, sync_request{self(), m_peers[target].cursor, local.usages,
                                                        roundToCount(local.nodeCount)}));
     }
     for (const auto &[region, candidates] : peers) {
-        if (region != m_self.entry.region) {
+        if (region != self().entry.region) {
             const auto queriedHub = selectQueriedHub(region, candidates, now);
             ++m_otherRegions[region].unansweredRequests;
             out.push_back(toOutgoingMessage(
-                    queriedHub, sync_request{m_self, m_peers[queriedHub].cursor, {}, 0}));
+                    queriedHub, sync_request{self(), m_peers[queriedHub].cursor, {}, 0}));
         }
     }
     return out;
@@ -193,14 +227,14 @@
     if (m_options.isDeputy) {
         auto deputies = deputiesByRegion(m_records);
         for (auto &[region, nodes] : deputies) {
-            std::erase(nodes, m_self.entry.id);
+            std::erase(nodes, self().entry.id);
         }
         std::erase_if(deputies, [](const auto &item) { return item.second.empty(); });
         return deputies;
     }
     std::map<base::region_id, std::vector<base::node_id>> hubs;
     m_records.forEach([&](const node_record &record) {
-        if (record.isAliveHub() && record.entry.id != m_self.entry.id) {
+        if (record.isAliveHub() && record.entry.id != self().entry.id) {
             hubs[record.entry.region].push_back(record.entry.id);
         }
     });
@@ -226,7 +260,7 @@
         const auto backoffEnd =
                 peer == m_peers.end() ? base::time_point{} : peer->second.backoffUntil;
         return std::pair(backoffEnd > now ? backoffEnd : base::time_point{},
-                         base::rendezvousWeight(m_self.entry.id.str(), node.str()));
+                         base::rendezvousWeight(self().entry.id.str(), node.str()));
     };
     state.queriedHub =
             *std::min_element(hubs.begin(), hubs.end(), [&](const auto &left, const auto &right) {
@@ -242,13 +276,15 @@
     return record == nullptr ? base::region_id() : record->entry.region;
 }
 
-auto hub::reporterCount(const base::node_id &hubId) const -> std::size_t
+auto hub::reporterCounts() const -> std::map<base::node_id, std::size_t>
 {
-    std::size_t count = 0;
-    m_records.forEach([&](const node_record &record) {
-        count += record.isAliveEntryNode() && record.reportsTo == hubId ? 1 : 0;
+    std::map<base::node_id, std::size_t> counts;
+    m_records.forEach([&counts](const node_record &record) {
+        if (record.isAliveEntryNode()) {
+            ++counts[record.reportsTo];
+        }
     });
-    return count;
+    return counts;
 }
 
 // Leaves out nodes that report to a hub of another region: that region gets their records from its
@@ -257,12 +293,25 @@
 {
     auto records = m_records.changedSince(cursor);
     std::erase_if(records, [this](const node_record &record) {
-        const auto region = regionOf(record.reportsTo);
-        return !region.empty() && region != m_self.entry.region;
+        return isServedByOtherRegion(record.reportsTo);
     });
     return records;
 }
 
+auto hub::movesForOtherRegion(const directory_cursor &cursor) const -> std::vector<node_move>
+{
+    auto moves = m_records.movedSince(cursor);
+    std::erase_if(moves,
+                  [this](const node_move &move) { return isServedByOtherRegion(move.reportsTo); });
+    return moves;
+}
+
+auto hub::isServedByOtherRegion(const base::node_id &reportsTo) const -> bool
+{
+    const auto region = regionOf(reportsTo);
+    return !region.empty() && region != self().entry.region;
+}
+
 auto hub::expireSilentReporters(base::time_point now) -> void
 {
     for (auto item = m_reporters.begin(); item != m_reporters.end();) {
@@ -303,9 +352,10 @@
 auto hub::regionUsage(base::time_point now) const -> usage_sum
 {
     auto sum = localUsage(now);
+    auto counts = reporterCounts();
     for (const auto &[node, peer] : m_peers) {
         if (now - peer.lastRequestAt <= USAGE_TIMEOUT && peer.reporterCount > 0) {
-            const auto remaining = static_cast<double>(reporterCount(node));
+            const auto remaining = static_cast<double>(counts[node]);
             const double weight =
                     std::min(1.0, remaining / static_cast<double>(peer.reporterCount));
             accumulateUsage(sum.usages, peer.usage.usages, weight);
@@ -315,6 +365,17 @@
     return sum;
 }
 
+// The sum over all organisations costs more than a report, and a hub gets many reports in each
+// interval.
+auto hub::recentFleetUsage(base::time_point now) -> const usage_sum &
+{
+    if (now - m_fleetUsageAt >= FLEET_USAGE_MAX_AGE) {
+        m_fleetUsage = fleetUsage(now);
+        m_fleetUsageAt = now;
+    }
+    return m_fleetUsage;
+}
+
 auto hub::fleetUsage(base::time_point now) const -> usage_sum
 {
     auto sum = regionUsage(now);
@@ -328,13 +389,16 @@
 }
 
 // Leaves out organisations that the node did not report, unless they exceed their limit.
-auto hub::totalsFor(const base::usage_map &reportedUsages, base::usage_map fleetUsages) const
+auto hub::totalsFor(const base::usage_map &reportedUsages, const base::usage_map &fleetUsages) const
         -> base::usage_map
 {
-    std::erase_if(fleetUsages, [&](const auto &total) {
-        return !reportedUsages.contains(total.first) && !m_isOverLimit(total.first, total.second);
-    });
-    return fleetUsages;
+    base::usage_map totals;
+    for (const auto &[organisation, usage] : fleetUsages) {
+        if (reportedUsages.contains(organisation) || m_isOverLimit(organisation, usage)) {
+            totals.emplace(organisation, usage);
+        }
+    }
+    return totals;
 }
 
 auto hub::mergeRecords(const record_table &records) -> void
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -1,5 +1,6 @@
 #include "fleet/messages.h"
 
+#include "base/digest.h"
 #include "base/thriftcodec.h"
 #include "fleet/generated/fleetwire_types.h"
 
@@ -120,11 +121,76 @@
     return out;
 }
 
+auto toWire(const std::vector<node_move> &items) -> std::vector<wire::node_move>
+{
+    std::vector<wire::node_move> out;
+    out.reserve(items.size());
+    for (const auto &item : items) {
+        wire::node_move move;
+        move.node = item.node.str();
+        move.generation = static_cast<std::int64_t>(item.generation);
+        move.sequence = static_cast<std::int64_t>(item.sequence);
+        move.reports_to = item.reportsTo.str();
+        out.push_back(std::move(move));
+    }
+    return out;
+}
+
+auto fromWire(const std::vector<wire::node_move> &items) -> std::vector<node_move>
+{
+    std::vector<node_move> out;
+    out.reserve(items.size());
+    for (const auto &item : items) {
+        out.push_back({base::node_id(item.node), static_cast<std::uint64_t>(item.generation),
+                       static_cast<std::uint64_t>(item.sequence), base::node_id(item.reports_to)});
+    }
+    return out;
+}
+
 auto cursorFromWire(std::int64_t bootId, std::int64_t changeNumber) -> directory_cursor
 {
     return {static_cast<std::uint64_t>(bootId), static_cast<std::uint64_t>(changeNumber)};
 }
 
+auto nodeCountFromWire(std::int32_t count) -> std::uint32_t
+{
+    return static_cast<std::uint32_t>(std::max(0, count));
+}
+
+auto digestFromWire(bool isSet, const std::string &bytes) -> std::optional<directory_digest>
+{
+    return isSet ? directory_digest::fromBytes(bytes) : std::nullopt;
+}
+
+auto groupOf(const base::node_id &node) -> std::size_t
+{
+    return base::hash64(node.str()) % directory_digest::GROUP_COUNT;
+}
+
+struct kind_namer
+{
+    auto operator()(const report &content) const -> std::string_view
+    {
+        return content.isProbe ? "probe" : "report";
+    }
+    auto operator()(const report_answer & /*content*/) const -> std::string_view
+    {
+        return "report_answer";
+    }
+    auto operator()(const sync_request & /*content*/) const -> std::string_view
+    {
+        return "sync_request";
+    }
+    auto operator()(const sync_answer & /*content*/) const -> std::string_view
+    {
+        return "sync_answer";
+    }
+    auto operator()(const config_notice & /*content*/) const -> std::string_view
+    {
+        return "config_notice";
+    }
+};
+
 struct message_writer
 {
     wire::message &out;
@@ -138,6 +204,9 @@
         encoded.version = static_cast<std::int64_t>(content.configVersion);
         encoded.usages = toWire(content.usages);
         encoded.probe = content.isProbe;
+        if (content.directoryDigest) {
+            encoded.__set_directory_digest(content.directoryDigest->toBytes());
+        }
         out.__set_node_report(encoded);
     }
     auto operator()(const report_answer &content) const -> void
@@ -145,7 +214,6 @@
         wire::report_answer encoded;
         encoded.boot = static_cast<std::int64_t>(content.cursor.bootId);
         encoded.change = static_cast<std::int64_t>(content.cursor.changeNumber);
-        encoded.whole = content.isFullDirectory;
         encoded.records = toWire(content.records);
         encoded.fresh = content.isFresh;
         if (content.document) {
@@ -177,6 +245,7 @@
             encoded.__set_region_usages(toWire(*content.regionUsages));
         }
         encoded.region_nodes = static_cast<std::int32_t>(content.regionNodeCount);
+        encoded.moves = toWire(content.moves);
         out.__set_synced(encoded);
     }
     auto operator()(const config_notice &content) const -> void
@@ -192,7 +261,6 @@
 {
     report_answer answer;
     answer.cursor = cursorFromWire(encoded.boot, encoded.change);
-    answer.isFullDirectory = encoded.whole;
     answer.records = fromWire(encoded.records);
     answer.isFresh = encoded.fresh;
     if (encoded.__isset.version && encoded.__isset.content) {
@@ -201,12 +269,60 @@
     }
     answer.usageTotals = fromWire(encoded.totals);
     answer.knownGeneration = static_cast<std::uint64_t>(encoded.known_generation);
-    answer.coveredNodeCount = static_cast<std::uint32_t>(std::max(0, encoded.covered_nodes));
+    answer.coveredNodeCount = nodeCountFromWire(encoded.covered_nodes);
     return answer;
 }
 
 } // namespace
 
+// Leaves out the sequence and the hub in use, which change without a change that matters to other
+// nodes.
+auto directory_digest::toggle(const node_record &record) -> void
+{
+    auto content = toWire(record);
+    content.sequence = 0;
+    content.reports_to.clear();
+    m_groups.at(groupOf(record.entry.id)) ^=
+            static_cast<std::uint32_t>(base::hash64(base::encodeThrift(content)));
+}
+
+auto directory_digest::agreesOn(const base::node_id &node, const directory_digest &other) const
+        -> bool
+{
+    const auto group = groupOf(node);
+    return m_groups.at(group) == other.m_groups.at(group);
+}
+
+auto directory_digest::toBytes() const -> std::string
+{
+    std::string bytes;
+    bytes.reserve(GROUP_COUNT * sizeof(std::uint32_t));
+    for (const auto group : m_groups) {
+        for (unsigned shift = 0; shift < 32; shift += 8) {
+            bytes.push_back(static_cast<char>(static_cast<unsigned char>(group >> shift)));
+        }
+    }
+    return bytes;
+}
+
+auto directory_digest::fromBytes(std::string_view bytes) -> std::optional<directory_digest>
+{
+    if (bytes.size() != GROUP_COUNT * sizeof(std::uint32_t)) {
+        return std::nullopt;
+    }
+    directory_digest digest;
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        const auto byte = static_cast<std::uint32_t>(static_cast<unsigned char>(bytes.at(i)));
+        digest.m_groups.at(i / sizeof(std::uint32_t)) |= byte << (8 * (i % sizeof(std::uint32_t)));
+    }
+    return digest;
+}
+
+auto kindName(const message &content) -> std::string_view
+{
+    return std::visit(kind_namer{}, content);
+}
+
 auto encodeMessage(const message &content) -> std::string
 {
     wire::message out;
@@ -222,9 +338,12 @@
     }
     if (decoded->__isset.node_report) {
         const auto &encoded = decoded->node_report;
-        return report{fromWire(encoded.sender), cursorFromWire(encoded.boot, encoded.change),
-                      static_cast<base::config_version>(encoded.version), fromWire(encoded.usages),
-                      encoded.probe};
+        return report{fromWire(encoded.sender),
+                      cursorFromWire(encoded.boot, encoded.change),
+                      static_cast<base::config_version>(encoded.version),
+                      fromWire(encoded.usages),
+                      encoded.probe,
+                      digestFromWire(encoded.__isset.directory_digest, encoded.directory_digest)};
     }
     if (decoded->__isset.answer) {
         return reportAnswerFromWire(decoded->answer);
@@ -232,12 +351,13 @@
     if (decoded->__isset.sync) {
         const auto &encoded = decoded->sync;
         return sync_request{fromWire(encoded.sender), cursorFromWire(encoded.boot, encoded.change),
-                            fromWire(encoded.usages), static_cast<std::uint32_t>(encoded.nodes)};
+                            fromWire(encoded.usages), nodeCountFromWire(encoded.nodes)};
     }
     if (decoded->__isset.synced) {
         const auto &encoded = decoded->synced;
         sync_answer answer{cursorFromWire(encoded.boot, encoded.change), fromWire(encoded.records),
-                           std::nullopt, static_cast<std::uint32_t>(encoded.region_nodes)};
+                           std::nullopt, nodeCountFromWire(encoded.region_nodes)};
+        answer.moves = fromWire(encoded.moves);
         if (encoded.__isset.region_usages) {
             answer.regionUsages = fromWire(encoded.region_usages);
         }
@@ -252,7 +372,7 @@
 
 auto toOutgoingMessage(const base::node_id &to, const message &content) -> base::outgoing_message
 {
-    return {to, base::channel::Directory, encodeMessage(content)};
+    return {to, base::channel::Directory, encodeMessage(content), kindName(content)};
 }
 
 auto nodeIdOf(const membership::endpoint &peerAddress) -> base::node_id
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -9,6 +9,13 @@
 
 namespace hawthornpick::fleet {
 
+namespace {
+
+//! Number of hubs and deputies whose positions are kept: those of a fleet, and some that are gone.
+constexpr std::size_t MAX_KNOWN_POSITIONS = 64;
+
+} // namespace
+
 reporter::reporter(node_record self, std::vector<base::node_id> contacts,
                    reporter_callbacks callbacks)
     : m_self(std::move(self)), m_contacts(std::move(contacts)), m_callbacks(std::move(callbacks))
@@ -65,6 +72,21 @@
     onSelfChanged();
 }
 
+auto reporter::supersede(const node_record &record) -> void
+{
+    if (record.isNewerThan(m_self)) {
+        supersede(record.generation);
+    }
+}
+
+auto reporter::supersede(std::uint64_t generation) -> void
+{
+    if (generation > m_self.generation) {
+        m_self.generation = generation + 1;
+        onSelfChanged();
+    }
+}
+
 auto reporter::setContacts(std::vector<base::node_id> contacts) -> void
 {
     m_contacts = std::move(contacts);
@@ -94,19 +116,24 @@
         m_backoffUntil.erase(from);
         m_usesDeputy = false;
         switchHub(from);
-        if (answer.isFresh) {
-            applyAnswer(answer);
+        if (answer.document) {
+            applyDocument(*answer.document);
         }
         return sendReport(now);
     }
     if (from != m_hub) {
         return {};
     }
+    const bool isPositionRejected = answer.cursor.bootId == 0 && m_cursors[from].bootId != 0;
     m_isAwaitingAnswer = false;
     m_unansweredReports = 0;
     m_failedHubCount = 0;
     applyAnswer(answer);
     m_callbacks.onTotals(answer.usageTotals, coverageShare(answer.coveredNodeCount));
+    if (isPositionRejected) {
+        // The hub has restarted; it gets the digest of the directory without delay.
+        return sendReport(now);
+    }
     if (m_usesDeputy) {
         return {};
     }
@@ -131,17 +158,14 @@
 
 auto reporter::applyAnswer(const report_answer &answer) -> void
 {
-    m_cursor = answer.cursor;
+    m_cursors[m_hub] = answer.cursor;
     bool hasChanged = false;
     for (const auto &record : answer.records) {
         if (record.entry.id != m_self.entry.id) {
             hasChanged = m_records.merge(record) || hasChanged;
         }
     }
-    if (answer.knownGeneration > m_self.generation) {
-        m_self.generation = answer.knownGeneration + 1;
-        onSelfChanged();
-    }
+    supersede(answer.knownGeneration);
     if (hasChanged) {
         publishView();
     }
@@ -169,7 +193,11 @@
     }
     m_reportSentAt = now;
     m_isAwaitingAnswer = true;
-    const report nodeReport{m_self, m_cursor, m_configVersion, m_callbacks.currentUsages(), false};
+    report nodeReport{m_self, m_cursors[m_hub], m_configVersion, m_callbacks.currentUsages(),
+                      false};
+    if (nodeReport.cursor.bootId == 0) {
+        nodeReport.directoryDigest = m_records.digest();
+    }
     return {toOutgoingMessage(m_hub, nodeReport)};
 }
 
@@ -240,7 +268,9 @@
 auto reporter::switchHub(const base::node_id &hub) -> void
 {
     m_hub = hub;
-    m_cursor = {};
+    if (m_cursors.size() > MAX_KNOWN_POSITIONS) {
+        m_cursors.clear();
+    }
     m_probedHub = {};
     m_previouslyProbed.clear();
     m_isAwaitingAnswer = false;
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -4,6 +4,7 @@
 #include "base/usage.h"
 #include "membership/view.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -56,6 +57,32 @@
     auto operator<=>(const directory_cursor &) const = default;
 };
 
+//! Digests of the contents of a directory: one for each of a fixed number of groups of nodes. Two
+//! directories differ at most in the groups whose digests differ.
+class directory_digest
+{
+public:
+    //! Few enough that the digests fit a datagram, and enough that a difference in one node causes
+    //! the transfer of few others.
+    static constexpr std::size_t GROUP_COUNT = 64;
+
+    //! Adds the content of a record, or takes it away if it was added before.
+    auto toggle(const node_record &record) -> void;
+
+    //! Returns true if the group of `node` has the same digest in `other`.
+    [[nodiscard]] auto agreesOn(const base::node_id &node, const directory_digest &other) const
+            -> bool;
+
+    //! Returns the digests as bytes; `fromBytes` returns nothing for any other length.
+    [[nodiscard]] auto toBytes() const -> std::string;
+    static auto fromBytes(std::string_view bytes) -> std::optional<directory_digest>;
+
+    auto operator<=>(const directory_digest &) const = default;
+
+private:
+    std::array<std::uint32_t, GROUP_COUNT> m_groups{};
+};
+
 //! A committed configuration document. This module does not interpret the content.
 struct config_document
 {
@@ -76,14 +103,15 @@
     base::usage_map usages;
     //! True if the sender reports to another hub and only asks whether the receiver is fresh.
     bool isProbe = false;
+    //! Digest of the sender's directory; set if `cursor` is empty.
+    std::optional<directory_digest> directoryDigest = std::nullopt;
 };
 
 struct report_answer
 {
-    //! Position of the hub's directory that the reader has reached with `records`.
+    //! Position of the hub's directory that the reader has reached with `records`. Empty if the hub
+    //! needs the digest of the reader's directory first.
     directory_cursor cursor;
-    //! True if `records` is the full directory, false if it holds only the changes.
-    bool isFullDirectory = false;
     std::vector<node_record> records;
     //! False if the hub may have missed committed versions.
     bool isFresh = false;
@@ -112,6 +140,17 @@
     std::uint32_t localNodeCount = 0;
 };
 
+//! Change of a record that concerns only the hub in use.
+struct node_move
+{
+    base::node_id node;
+    std::uint64_t generation = 0;
+    std::uint64_t sequence = 0;
+    base::node_id reportsTo;
+
+    auto operator<=>(const node_move &) const = default;
+};
+
 struct sync_answer
 {
     //! Position of the sender's directory that the reader has reached with `records`.
@@ -121,6 +160,8 @@
     std::optional<base::usage_map> regionUsages;
     //! Number of entry nodes in this sum.
     std::uint32_t regionNodeCount = 0;
+    //! Changes of further records.
+    std::vector<node_move> moves = {};
 };
 
 //! Pushes a newly committed document to a node.
@@ -134,6 +175,9 @@
 //! Thread safety: pure.
 auto encodeMessage(const message &content) -> std::string;
 
+//! Returns the name of the kind of a message, for metrics. Thread safety: pure.
+auto kindName(const message &content) -> std::string_view;
+
 //! Encodes a message for the channel `Directory`. Thread safety: pure.
 auto toOutgoingMessage(const base::node_id &to, const message &content) -> base::outgoing_message;
 
--- a/src/fleet/recordtable.h
+++ b/src/fleet/recordtable.h
@@ -24,11 +24,31 @@
     //! Returns the position of the last change.
     [[nodiscard]] auto cursor() const -> directory_cursor { return {m_bootId, m_lastChangeNumber}; }
 
-    //! Returns the records that changed after `readerCursor`, or all records if the cursor belongs
-    //! to another process.
+    //! Returns true if the cursor is a position in this table.
+    [[nodiscard]] auto contains(const directory_cursor &readerCursor) const -> bool
+    {
+        return readerCursor.bootId == m_bootId && readerCursor.changeNumber <= m_lastChangeNumber;
+    }
+
+    //! Applies a change of the hub in use to the record of the same start of the node; returns true
+    //! if the record was older.
+    auto merge(const node_move &move) -> bool;
+
+    //! Returns the records of which more than the hub in use changed after `readerCursor`, or all
+    //! records if the table does not contain the cursor.
     [[nodiscard]] auto changedSince(const directory_cursor &readerCursor) const
             -> std::vector<node_record>;
 
+    //! Returns the other changes after `readerCursor`.
+    [[nodiscard]] auto movedSince(const directory_cursor &readerCursor) const
+            -> std::vector<node_move>;
+
+    //! Returns the records in the groups of nodes whose content differs from that of a reader.
+    [[nodiscard]] auto differingFrom(const directory_digest &reader) const
+            -> std::vector<node_record>;
+
+    [[nodiscard]] auto digest() const -> const directory_digest & { return m_digest; }
+
     //! Calls `visit` for each record.
     template <typename Visitor>
     auto forEach(Visitor visit) const -> void
@@ -43,12 +63,22 @@
     {
         node_record record;
         std::uint64_t changeNumber = 0;
+        //! Number of the last change of anything but the hub in use.
+        std::uint64_t contentChangeNumber = 0;
     };
+    using change_index = std::map<std::uint64_t, base::node_id>;
+
+    [[nodiscard]] auto lastChangeReadBy(const directory_cursor &reader) const -> std::uint64_t
+    {
+        return contains(reader) ? reader.changeNumber : 0;
+    }
 
     std::uint64_t m_bootId;
     std::uint64_t m_lastChangeNumber = 0;
     std::map<base::node_id, numbered_record> m_records;
-    std::map<std::uint64_t, base::node_id> m_nodeByChangeNumber;
+    change_index m_nodeByChangeNumber;
+    change_index m_nodeByContentChangeNumber;
+    directory_digest m_digest;
 };
 
 } // namespace hawthornpick::fleet
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -70,6 +70,11 @@
     auto setUpstreams(std::vector<membership::upstream_entry> upstreams) -> void;
     auto setState(membership::node_state state) -> void;
 
+    //! Raises the generation of the node's own record above that of `record`, which a former
+    //! process of the node sent before the host's clock was set back. No effect if `record` is
+    //! older.
+    auto supersede(const node_record &record) -> void;
+
     //! Replaces the nodes that may be hubs.
     auto setContacts(std::vector<base::node_id> contacts) -> void;
 
@@ -89,6 +94,7 @@
     auto switchHub(const base::node_id &hub) -> void;
     [[nodiscard]] auto preferredDeputy(base::time_point now) const -> base::node_id;
     [[nodiscard]] auto hubsByPreference(base::time_point now) const -> std::vector<base::node_id>;
+    auto supersede(std::uint64_t generation) -> void;
     auto onSelfChanged() -> void;
     auto publishView() -> void;
     //! Returns 0 for a node of the same failure domain, 1 for one of the same region, 2 for others.
@@ -100,8 +106,9 @@
     record_table m_records{0};
     //! Hub or deputy to which the node reports.
     base::node_id m_hub;
-    //! Position up to which the directory of `m_hub` has been received.
-    directory_cursor m_cursor;
+    //! Positions up to which the directories of hubs and deputies have been received; kept after a
+    //! switch to another hub, so that a return transfers only the changes since.
+    std::map<base::node_id, directory_cursor> m_cursors;
     //! Failed hubs and deputies, each with the time until which others are preferred.
     std::map<base::node_id, base::time_point> m_backoffUntil;
     base::time_point m_nextReportAt;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -105,7 +105,7 @@
                 [](const base::organisation_id &, const base::rate_usage &) { return false; });
         if (isHub) {
             node.hub = std::make_unique<fleet::hub>(
-                    fleet::hub_options{m_contacts, m_network.random().bits()}, record,
+                    fleet::hub_options{m_contacts, m_network.random().bits()}, *node.reporter,
                     [&node](base::time_point) { return node.isFresh; },
                     [](const base::organisation_id &, const base::rate_usage &) { return false; });
         }
@@ -124,6 +124,15 @@
         return std::any_of(m_nodes.begin(), m_nodes.end(), hasIdAndHub);
     }
 
+    //! Mean control payload bytes that each node sent per second during `span`.
+    auto bytesPerSecondAndNode(milliseconds span) -> double
+    {
+        const auto bytesBefore = m_network.sentBytes();
+        run(span);
+        return static_cast<double>(m_network.sentBytes() - bytesBefore) / base::toSeconds(span)
+               / static_cast<double>(m_nodes.size());
+    }
+
     //! Number of directory messages received from a node of another region so far.
     auto interRegionMessageCount() const -> int { return m_interRegionMessageCount; }
 
@@ -438,3 +447,92 @@
     CHECK_EQUAL(1, fleet.upstreamCountSeenBy(7));
     CHECK_EQUAL(3, fleet.node(7).version);
 }
+
+namespace {
+
+//! Control traffic that a node of the design size may cause.
+constexpr double MAX_CONTROL_BYTES_PER_S = 4000.0;
+
+} // namespace
+
+// Guards against a storm of whole directories: nodes that hear no hub probe one after the other,
+// and hubs that hear the probes must not answer each with the directory.
+TEST(directory, probesOfPartitionedNodesStaySmall)
+{
+    constexpr int HUB_COUNT = 12;
+    constexpr int NODE_COUNT = 200;
+    directory_fleet fleet(NODE_COUNT, HUB_COUNT);
+    fleet.run(milliseconds(6000));
+    for (int i = HUB_COUNT; i < NODE_COUNT; i += 3) {
+        for (int hub = 0; hub < HUB_COUNT; ++hub) {
+            fleet.network().cut(nodeIdOf(hub), nodeIdOf(i));
+        }
+    }
+    CHECK(fleet.bytesPerSecondAndNode(milliseconds(8000)) <= MAX_CONTROL_BYTES_PER_S);
+    fleet.network().healAll();
+    CHECK(fleet.bytesPerSecondAndNode(milliseconds(5000)) <= MAX_CONTROL_BYTES_PER_S);
+    for (int i = HUB_COUNT; i < NODE_COUNT; ++i) {
+        CHECK(fleet.isHub(fleet.node(i).currentHub));
+    }
+}
+
+// Guards against whole directories that are sent again and again while nodes move between hubs that
+// are stale in turn, as around repeated elections.
+TEST(directory, movingBetweenHubsTransfersOnlyDifferences)
+{
+    constexpr int HUB_COUNT = 12;
+    directory_fleet fleet(200, HUB_COUNT);
+    fleet.run(milliseconds(6000));
+    for (int election = 0; election < 6; ++election) {
+        for (int hub = 0; hub < HUB_COUNT; ++hub) {
+            fleet.node(hub).isFresh = hub % 3 == election % 3;
+        }
+        const auto bytes = fleet.bytesPerSecondAndNode(milliseconds(2000));
+        CHECK_TEXT(bytes <= MAX_CONTROL_BYTES_PER_S, std::to_string(bytes).c_str());
+    }
+}
+
+// Guards against records of hubs that never stop changing: a hub has one record, also while it
+// reports to other hubs in turn, so its generation stays that of its start.
+TEST(directory, recordsOfHubsSettleWhileHubsMove)
+{
+    constexpr int HUB_COUNT = 8;
+    directory_fleet fleet(20, HUB_COUNT);
+    for (int second = 0; second < 12; ++second) {
+        for (int hub = 0; hub < HUB_COUNT; ++hub) {
+            fleet.node(hub).isFresh = hub % 3 == second % 3;
+        }
+        fleet.run(milliseconds(1000));
+    }
+    for (int hub = 0; hub < HUB_COUNT; ++hub) {
+        CHECK_EQUAL(1, fleet.node(19).reporter->records().find(nodeIdOf(hub))->generation);
+    }
+}
+
+// Guards against a change that a node misses because it compares directories: a record that changed
+// while the node reported elsewhere arrives after its return.
+TEST(directory, changesArriveAfterAMoveBetweenHubs)
+{
+    directory_fleet fleet(24, 6);
+    fleet.network().setFaults({});
+    fleet.run(milliseconds(4000));
+    const auto firstHub = fleet.node(8).currentHub;
+    fleet.network().crash(firstHub);
+    fleet.run(milliseconds(3000));
+    CHECK(fleet.node(8).currentHub != firstHub);
+    for (int round = 0; round < 5; ++round) {
+        const auto name = "u" + std::to_string(round);
+        fleet.node(20 + round % 3).reporter->setUpstreams({makeUpstream(name)});
+        fleet.run(milliseconds(2500));
+        bool isKnown = false;
+        for (const auto &place : fleet.node(8).view->upstreamsOf(base::service_id("s"))) {
+            isKnown = isKnown || place.upstream->id == base::upstream_id(name);
+        }
+        CHECK(isKnown);
+        for (int hub = 0; hub < 6; ++hub) {
+            if (nodeIdOf(hub) != firstHub) {
+                fleet.node(hub).isFresh = hub % 2 == round % 2;
+            }
+        }
+    }
+}
