Place requests with the present load of the own upstream

Load pattern: hundreds of nodes, a few requests a second at each, a third of the upstreams hanging for seconds at a time. Cause: a node learned the load and health of its own upstream like those of the others, from its last response or refusal there. Change: the executor's load is handed to placement before each choice; it includes requests in flight, so that a hang and its end are known without a response.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -280,6 +280,7 @@
             return select(request);
         };
         hooks.checkPlaceable = [this](const caller::selection_request &request) {
+            updateOwnLoad(request.service.id);
             return m_placement.checkPlaceable(request.view, placementRequest(request),
                                               base::clock::now());
         };
@@ -336,8 +337,18 @@
                 request.hasAttemptInFlight};
     }
 
+    // The load of other upstreams arrives with responses, that of the own one is always known: also
+    // that it stopped responding, or that it responds again.
+    auto updateOwnLoad(const base::service_id &service) -> void
+    {
+        if (const auto load = m_upstreams.executorOf(0).loadOf(service)) {
+            m_placement.onLoad(m_identity.node, service, *load, base::clock::now());
+        }
+    }
+
     auto select(const caller::selection_request &request) -> base::result<caller::chosen_node>
     {
+        updateOwnLoad(request.service.id);
         const auto placed =
                 m_placement.choose(request.view, placementRequest(request), base::clock::now());
         if (!placed) {
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -66,6 +66,11 @@
     //! Thread safety: any thread.
     auto context() -> boost::asio::io_context &;
 
+    //! Returns the present load and health of a service on this node, or nothing if no upstream of
+    //! it has announced itself.
+    [[nodiscard]] auto loadOf(const base::service_id &service) const
+            -> std::optional<policy::service_load>;
+
     //! Number of in-flight requests, from other nodes and from this node.
     [[nodiscard]] auto activeCount() const -> std::size_t;
 
--- a/src/upstream/internal/executor.cpp
+++ b/src/upstream/internal/executor.cpp
@@ -39,6 +39,11 @@
     return m_state->context();
 }
 
+auto executor::loadOf(const base::service_id &service) const -> std::optional<policy::service_load>
+{
+    return m_state->loadOf(service);
+}
+
 auto executor::activeCount() const -> std::size_t
 {
     return m_state->inFlightCount;
