Bound bytes without end and refuse odd values one by one

Cause, each shown by a test that failed before: - Boost.Beast's parser has no limit for a chunk header, a chunk extension or a trailer, so an upstream that sends one without end filled the memory of the executing node until the deadline; interim answers without end kept it busy as long (endless_bytes_test). Change: limits of 32 KB for what an upstream's answer leaves unparsed, 16 KB for callers, 128 KB for the control servers, 32 interim answers; odd records are left out, the others of the message hold; messages are walked once before they are decoded. Ruled out by the same tests: heads without end (limited before), bytes after an answer (the connection is closed), 10,000 levels of JSON (refused), numbers beyond 64 bits, invalid UTF-8.

--- a/src/base/thriftcodec.h
+++ b/src/base/thriftcodec.h
@@ -28,18 +28,22 @@
 template <typename Struct>
 auto decodeThrift(std::string_view bytes) -> std::optional<Struct>
 {
+    using apache::thrift::transport::TMemoryBuffer;
     // TMemoryBuffer only reads the bytes here, but its constructor takes a pointer to non-const.
     auto *data = reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
-    const auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>(
-            data, static_cast<std::uint32_t>(bytes.size()));
-    apache::thrift::protocol::TCompactProtocolT<apache::thrift::transport::TMemoryBuffer> protocol(
-            buffer);
+    const auto buffer =
+            std::make_shared<TMemoryBuffer>(data, static_cast<std::uint32_t>(bytes.size()));
+    apache::thrift::protocol::TCompactProtocolT<TMemoryBuffer> protocol(buffer);
     try {
-        Struct value;
-        value.read(&protocol);
+        // The generated code allocates as many elements as a list announces before it reads them,
+        // so the sizes are checked against the bytes first.
+        protocol.skip(apache::thrift::protocol::T_STRUCT);
         if (buffer->available_read() != 0) {
             return std::nullopt;
         }
+        buffer->resetBuffer(data, static_cast<std::uint32_t>(bytes.size()));
+        Struct value;
+        value.read(&protocol);
         return value;
     } catch (const std::exception &) {
         return std::nullopt;
--- a/src/caller/internal/requestbody.cpp
+++ b/src/caller/internal/requestbody.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t MAX_PART_BYTES = 16UL * 1024;
+// Maximum size of a chunk header or of a trailer, which the parser reads as a whole.
+constexpr std::size_t MAX_UNPARSED_BYTES = 16UL * 1024;
 
 } // namespace
 
@@ -53,6 +55,10 @@
         if (*hasProgress) {
             continue;
         }
+        if (m_input.buffer().size() >= MAX_UNPARSED_BYTES) {
+            co_return base::fail(error_kind::BadRequest,
+                                 "chunk header or trailer exceeds the size limit");
+        }
         const auto readDeadline = std::min(base::clock::now() + BODY_READ_TIMEOUT, m_deadline);
         if (!co_await m_input.waitForMoreThan(m_input.buffer().size(), readDeadline)) {
             co_return base::fail(m_input.hasTimedOut() ? error_kind::RequestTimeout
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -15,6 +15,7 @@
 //! enough for a rate of one request in several minutes, and the demand of most organisations takes
 //! two bytes.
 constexpr double DEMAND_UNITS_PER_RPS = 256.0;
+constexpr std::int32_t MAX_UPSTREAM_SLOTS = 100'000;
 
 auto toWire(const membership::upstream_entry &item) -> wire::upstream
 {
@@ -86,12 +87,31 @@
     return out;
 }
 
+auto isValid(const wire::upstream &item) -> bool
+{
+    const auto lastState = static_cast<std::int8_t>(membership::upstream_state::Gone);
+    return !item.id.empty() && item.slots >= 0 && item.slots <= MAX_UPSTREAM_SLOTS
+           && item.state >= 0 && item.state <= lastState;
+}
+
+// A record of another writer, or of a newer version, may hold values that this version can't use.
+auto isValid(const wire::node_record &item) -> bool
+{
+    const auto address = membership::parseEndpoint(item.node);
+    const auto lastState = static_cast<std::int8_t>(membership::node_state::Dead);
+    return address && address->port != 0 && item.state >= 0 && item.state <= lastState
+           && std::all_of(item.upstreams.begin(), item.upstreams.end(),
+                          [](const wire::upstream &upstream) { return isValid(upstream); });
+}
+
 auto fromWire(const std::vector<wire::node_record> &items) -> std::vector<node_record>
 {
     std::vector<node_record> out;
     out.reserve(items.size());
     for (const auto &item : items) {
-        out.push_back(fromWire(item));
+        if (isValid(item)) {
+            out.push_back(fromWire(item));
+        }
     }
     return out;
 }
@@ -337,6 +357,9 @@
         return std::nullopt;
     }
     if (decoded->__isset.node_report) {
+        if (!isValid(decoded->node_report.sender)) {
+            return std::nullopt;
+        }
         const auto &encoded = decoded->node_report;
         return report{fromWire(encoded.sender),
                       cursorFromWire(encoded.boot, encoded.change),
@@ -349,6 +372,9 @@
         return reportAnswerFromWire(decoded->answer);
     }
     if (decoded->__isset.sync) {
+        if (!isValid(decoded->sync.sender)) {
+            return std::nullopt;
+        }
         const auto &encoded = decoded->sync;
         return sync_request{fromWire(encoded.sender), cursorFromWire(encoded.boot, encoded.change),
                             fromWire(encoded.usages), nodeCountFromWire(encoded.nodes)};
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -6,6 +6,7 @@
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <memory>
+#include <sys/resource.h>
 
 using namespace hawthornpick;
 using std::chrono::milliseconds;
@@ -536,3 +537,67 @@
         }
     }
 }
+
+// Guards against one odd record that ends the process, hides the other records of its message, or
+// is used: an id that is no endpoint, or a state or number of slots out of range.
+TEST(directory, ignoresOddRecordsOnly)
+{
+    auto odd = makeRecord(1, false);
+    fleet::report_answer answer;
+    answer.records = {makeRecord(0, false)};
+    for (const char *id : {"", "nowhere", "10.0.0.1:0", "10.0.0.1:99999"}) {
+        odd.entry.id = base::node_id(id);
+        answer.records.push_back(odd);
+    }
+    odd = makeRecord(1, false);
+    odd.entry.state = static_cast<membership::node_state>(77);
+    answer.records.push_back(odd);
+    odd = makeRecord(1, false);
+    odd.entry.upstreams = {makeUpstream("u")};
+    odd.entry.upstreams.front().state = static_cast<membership::upstream_state>(-3);
+    answer.records.push_back(odd);
+    odd.entry.upstreams = {makeUpstream("u")};
+    odd.entry.upstreams.front().slots = 0xffffffff;
+    answer.records.push_back(odd);
+    answer.records.push_back(makeRecord(2, false));
+    const auto decoded = fleet::decodeMessage(fleet::encodeMessage(answer));
+    CHECK(decoded.has_value());
+    const auto &records = std::get<fleet::report_answer>(*decoded).records;
+    CHECK_EQUAL(2, records.size());
+    CHECK(records.front().entry.id == nodeIdOf(0));
+    CHECK(records.back().entry.id == nodeIdOf(2));
+}
+
+namespace {
+
+auto peakMemoryKilobytes() -> long
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+} // namespace
+
+// Guards against bytes that decode into more memory than they have: a list that announces far more
+// elements than its message holds.
+TEST(directory, refusesMessagesWithImpossibleSizes)
+{
+    auto bytes = fleet::encodeMessage(fleet::sync_answer{{1, 1}, {makeRecord(0, false)}, {}, 0});
+    // The header of the list of records: one element of type struct.
+    const auto position = bytes.find('\x1c');
+    CHECK(position != std::string::npos);
+    // Five million records.
+    bytes.replace(position, 1, std::string("\xfc\xc0\x96\xb1\x02", 5));
+    const auto memoryBefore = peakMemoryKilobytes();
+    CHECK(!fleet::decodeMessage(bytes));
+    CHECK(peakMemoryKilobytes() - memoryBefore < 64 * 1024);
+    CHECK(!fleet::decodeMessage(std::string(100'000, '\x1c')));
+    base::random_source random(5);
+    for (int i = 0; i < 20'000; ++i) {
+        auto mutated =
+                fleet::encodeMessage(fleet::sync_answer{{1, 1}, {makeRecord(0, false)}, {}, 0});
+        mutated.at(random.below(mutated.size())) = static_cast<char>(random.below(256));
+        fleet::decodeMessage(mutated);
+    }
+}
--- a/src/upstream/internal/upstreamexchange.cpp
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -25,6 +25,10 @@
 constexpr std::uint32_t MAX_ANSWER_HEADER_BYTES = 32U * 1024;
 // A body up to this size is sent with the head; a longer one while the answer is read.
 constexpr std::size_t MAX_INLINE_BODY_BYTES = 2UL * 1024;
+// Maximum size of a chunk header or of a trailer, which the parser reads as a whole.
+constexpr std::size_t MAX_UNPARSED_BYTES = 32UL * 1024;
+// Maximum number of interim answers (1xx) before one answer.
+constexpr int MAX_INTERIM_ANSWERS = 32;
 // Maximum number of late answers to earlier requests that one exchange skips.
 constexpr int MAX_SKIPPED_ANSWERS = 3;
 constexpr auto AS_TUPLE = asio::as_tuple(asio::use_awaitable);
@@ -251,6 +255,10 @@
 // connection.
 auto upstream_exchange::readMore() -> asio::awaitable<bool>
 {
+    if (m_connection.buffer.size() >= MAX_UNPARSED_BYTES) {
+        failRead("the upstream sent a chunk header or a trailer that exceeds the size limit");
+        co_return false;
+    }
     const auto space = m_connection.buffer.prepare(READ_BUFFER_BYTES);
     const auto [error, count] = co_await m_connection.socket.async_read_some(space, AS_TUPLE);
     m_connection.buffer.commit(count);
@@ -268,7 +276,8 @@
 auto upstream_exchange::readHead() -> asio::awaitable<bool>
 {
     resetParser();
-    while (true) {
+    int interimAnswers = 0;
+    while (interimAnswers <= MAX_INTERIM_ANSWERS) {
         boost::system::error_code error;
         const auto count = m_parser->put(m_connection.buffer.data(), error);
         m_connection.buffer.consume(count);
@@ -290,8 +299,11 @@
             failRead("the upstream answered 101 Switching Protocols to a request without Upgrade");
             co_return false;
         }
+        ++interimAnswers;
         resetParser();
     }
+    failRead("the upstream sent too many interim answers");
+    co_return false;
 }
 
 auto upstream_exchange::hasSupportedFraming() -> bool
--- a/src/webapi/internal/server.cpp
+++ b/src/webapi/internal/server.cpp
@@ -26,6 +26,8 @@
 
 constexpr std::chrono::seconds IDLE_TIMEOUT{30};
 constexpr std::uint32_t MAX_HEADER_BYTES = 16 * 1024;
+// Input that has not been parsed: a head, a chunk header, a trailer or a part of a body.
+constexpr std::size_t MAX_BUFFERED_BYTES = 128UL * 1024;
 constexpr std::string_view BEARER_PREFIX = "Bearer ";
 
 auto bearerTokenOf(std::string_view authorization) -> std::string
@@ -120,7 +122,7 @@
     {
         beast::tcp_stream stream(std::move(socket));
         self->m_streams.insert(&stream);
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer(MAX_BUFFERED_BYTES);
         bool keepOpen = true;
         while (keepOpen) {
             keepOpen = co_await self->serveRequest(stream, buffer);
