policy: take the calls of a repeated request from the budget of the called service

Load pattern: reads that fail with an error three times out of four for seconds, each of which calls another service; the calls of a repeated read count as repeats there. Repeats of catalogue-browse were limited by the budget of catalogue only, and each made 1.4 calls to studio. Change: a node beside an upstream measures the calls for each idempotent run; a repeat of a request to that service needs room for the calls in the budgets of the called services too. Test: countsTheCallsOfRepeatedRequests, followsTheCallsOfTheOwnUpstream.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -40,7 +40,7 @@
     : m_peerPort(settings.peerPort), m_ownNode(identity.node), m_applyChange(adapter.applyChange),
       m_parseDocument(adapter.parseDocument), m_callbacks(std::move(callbacks)),
       m_runtime(context, identity, settings.peerListenAddress, resolve, metrics),
-      m_bootId(base::systemSeed()),
+      m_traffic(metrics), m_bootId(base::systemSeed()),
       m_reporter(nodeRecord(settings), seedNodes(settings.seeds), reporterCallbacks()),
       m_deputy(m_bootId, m_reporter, m_callbacks.isNearLimit)
 {
@@ -53,6 +53,7 @@
                 return receiveDirectoryMessage(from, payload, now);
             });
     m_runtime.onTick([this](base::time_point now) { return tick(now); });
+    m_runtime.onSent([this](const base::outgoing_message &message) { countSent(message); });
 }
 
 auto mesh_control::seedNodes(const std::vector<std::string> &seeds) const
@@ -180,8 +181,20 @@
     return outgoing;
 }
 
+auto mesh_control::countSent(const base::outgoing_message &message) -> void
+{
+    const auto *receiver = m_reporter.records().find(message.to);
+    const bool isToOtherRegion =
+            receiver != nullptr && receiver->entry.region != m_reporter.self().entry.region;
+    const auto kind = message.kindName.empty() ? std::string_view("quorum") : message.kindName;
+    m_traffic.countSent(kind, isToOtherRegion, message.payload.size());
+}
+
 auto mesh_control::tick(base::time_point now) -> messages
 {
+    if (m_hub) {
+        m_traffic.logIfDue(now);
+    }
     auto outgoing = m_reporter.tick(now);
     if (!m_hub) {
         auto batch = runDeputy([&] { return m_deputy.tick(now); });
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "app/internal/controltraffic.h"
 #include "app/meshadapter.h"
 #include "config/meshsettings.h"
 #include "config/snapshot.h"
@@ -84,6 +85,7 @@
     auto runDeputy(const std::function<messages()> &action) -> messages;
     auto onCommitted(const quorum::value_pointer &value) -> void;
     auto applyDocument(const fleet::config_document &document) -> void;
+    auto countSent(const base::outgoing_message &message) -> void;
 
     std::uint16_t m_peerPort;
     base::node_id m_ownNode;
@@ -94,6 +96,7 @@
             m_parseDocument;
     mesh_control_callbacks m_callbacks;
     peer::control_runtime m_runtime;
+    control_traffic m_traffic;
     std::uint64_t m_bootId;
     fleet::reporter m_reporter;
     fleet::deputy m_deputy;
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -8,6 +8,7 @@
 #include "base/random.h"
 #include "caller/callerserver.h"
 #include "limits/fleetratelimiter.h"
+#include "policy/callratio.h"
 #include "policy/placement.h"
 #include "policy/repeatbudget.h"
 #include "policy/servicesplit.h"
@@ -238,6 +239,9 @@
         upstream::executor_hooks hooks;
         hooks.onStart = [this](const upstream::attempt_observation &observation) {
             m_upstreamHealth.onStart(observation);
+            if (observation.idempotent) {
+                m_callRatio.onRun(observation.started);
+            }
         };
         hooks.onFinish = [this](const upstream::attempt_observation &observation,
                                 const upstream::attempt_finish &finish) {
@@ -301,12 +305,17 @@
             return admit(std::move(organisation));
         };
         hooks.onFirstAttempt = [this](const config::service &service,
-                                      const base::organisation_id & /*organisation*/) {
-            m_repeatBudget.onRequest(service.id, base::clock::now());
+                                      const base::organisation_id &organisation) {
+            const auto now = base::clock::now();
+            m_repeatBudget.onRequest(service.id, now);
+            // Calls of upstreams carry no key.
+            if (organisation.empty() && service.id != m_settings.service) {
+                m_callRatio.onCall(service.id, now);
+            }
         };
         hooks.takeRetry = [this](const config::service &service,
                                  const base::organisation_id & /*organisation*/) {
-            return m_repeatBudget.tryRepeat(service.id, base::clock::now());
+            return tryRepeat(service.id);
         };
         hooks.hedgeDelay = [this](const caller::selection_request &request,
                                   const caller::chosen_node & /*chosen*/) {
@@ -380,7 +389,7 @@
         if (node == nullptr) {
             return std::nullopt;
         }
-        if (!m_repeatBudget.tryRepeat(request.service.id, now)) {
+        if (!tryRepeat(request.service.id)) {
             m_placement.onAttemptEnd(node->id, request.service.id, base::error_kind::CallerGone, {},
                                      now);
             return std::nullopt;
@@ -388,6 +397,15 @@
         return caller::chosen_node{node->id, 0, node->peerAddress, 0.0, base::duration::zero()};
     }
 
+    // The calls of a service are known only where one of its upstreams is.
+    auto tryRepeat(const base::service_id &service) -> bool
+    {
+        const auto now = base::clock::now();
+        const auto calls = service == m_settings.service ? m_callRatio.callsPerRun(now)
+                                                         : std::map<base::service_id, double>();
+        return m_repeatBudget.tryRepeat(service, now, calls);
+    }
+
     auto expectedLatency(const caller::selection_request &request) const -> base::duration
     {
         return m_latencies.mean(request.route, request.targetTime - request.arrival);
@@ -558,6 +576,7 @@
     base::random_source m_random;
     policy::service_split m_serviceSplit;
     policy::repeat_budget m_repeatBudget;
+    policy::call_ratio m_callRatio;
     limits::fleet_rate_limiter m_rateLimiter;
     std::size_t m_entryNodeCount = 1;
     decision_log m_log;
--- a/src/peer/internal/runtime.cpp
+++ b/src/peer/internal/runtime.cpp
@@ -71,6 +71,11 @@
         m_receivers[channel] = std::move(receive);
     }
 
+    auto onSent(std::function<void(const base::outgoing_message &message)> observe) -> void
+    {
+        m_observeSent = std::move(observe);
+    }
+
     auto onTick(control_runtime::tick_function tick) -> void
     {
         m_tickFunctions.push_back(std::move(tick));
@@ -135,6 +140,9 @@
             deliver(message.to, message.kind, message.payload);
             return;
         }
+        if (m_observeSent) {
+            m_observeSent(message);
+        }
         const auto address = m_resolve(message.to);
         if (!address) {
             m_unsentMessages.Increment();
@@ -245,6 +253,7 @@
     bool m_isRunning = false;
     std::map<base::channel, control_runtime::receive_function> m_receivers;
     std::vector<control_runtime::tick_function> m_tickFunctions;
+    std::function<void(const base::outgoing_message &message)> m_observeSent;
     std::unordered_map<base::node_id, base::incarnation> m_newestIncarnations;
     prometheus::Counter &m_sentDatagrams;
     prometheus::Counter &m_sentBytes;
@@ -277,6 +286,12 @@
     m_state->onTick(std::move(tick));
 }
 
+auto control_runtime::onSent(std::function<void(const base::outgoing_message &message)> observe)
+        -> void
+{
+    m_state->onSent(std::move(observe));
+}
+
 auto control_runtime::start() -> void
 {
     m_state->start();
--- a/src/peer/runtime.h
+++ b/src/peer/runtime.h
@@ -51,6 +51,10 @@
     //! Registers a function called every `TICK_INTERVAL`. Call before `start`.
     auto onTick(tick_function tick) -> void;
 
+    //! Registers a function that observes each message that is sent to another node. Call before
+    //! `start`.
+    auto onSent(std::function<void(const base::outgoing_message &message)> observe) -> void;
+
     //! Starts receiving and ticking. Thread safety: control thread, or before it runs `context`.
     auto start() -> void;
 
--- a/src/policy/internal/repeatbudget.cpp
+++ b/src/policy/internal/repeatbudget.cpp
@@ -1,5 +1,7 @@
 #include "policy/repeatbudget.h"
 
+#include <algorithm>
+
 namespace hawthornpick::policy {
 
 auto repeat_budget::onRequest(const base::service_id &service, base::time_point now) -> void
@@ -9,25 +11,42 @@
     state.requestTimes.push_back(now);
 }
 
-auto repeat_budget::tryRepeat(const base::service_id &service, base::time_point now) -> bool
+auto repeat_budget::tryRepeat(const base::service_id &service, base::time_point now,
+                              const std::map<base::service_id, double> &calls) -> bool
 {
-    auto &state = m_services[service];
-    removeExpired(state, now);
-    const double allowed =
-            m_limits.share * static_cast<double>(state.requestTimes.size()) + m_limits.slack;
-    if (static_cast<double>(state.repeatTimes.size()) + 1.0 > allowed) {
+    auto amounts = calls;
+    amounts[service] += 1.0;
+    const bool fits = std::all_of(amounts.begin(), amounts.end(), [&](const auto &item) {
+        auto &state = m_services[item.first];
+        removeExpired(state, now);
+        const double allowed =
+                m_limits.share * static_cast<double>(state.requestTimes.size()) + m_limits.slack;
+        return state.repeatCount + item.second <= allowed;
+    });
+    if (!fits) {
         return false;
     }
-    state.repeatTimes.push_back(now);
+    for (const auto &[target, amount] : amounts) {
+        auto &state = m_services[target];
+        state.repeats.emplace_back(now, amount);
+        state.repeatCount += amount;
+    }
     return true;
 }
 
 auto repeat_budget::removeExpired(service_state &state, base::time_point now) const -> void
 {
-    for (auto *times : {&state.requestTimes, &state.repeatTimes}) {
-        while (!times->empty() && times->front() + m_limits.window <= now) {
-            times->pop_front();
-        }
+    auto &requests = state.requestTimes;
+    while (!requests.empty() && requests.front() + m_limits.window <= now) {
+        requests.pop_front();
+    }
+    auto &repeats = state.repeats;
+    while (!repeats.empty() && repeats.front().first + m_limits.window <= now) {
+        state.repeatCount -= repeats.front().second;
+        repeats.pop_front();
+    }
+    if (repeats.empty()) {
+        state.repeatCount = 0.0;
     }
 }
 
--- a/src/policy/repeatbudget.h
+++ b/src/policy/repeatbudget.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <deque>
+#include <map>
 #include <unordered_map>
 
 namespace hawthornpick::policy {
@@ -31,9 +32,11 @@
     //! Counts the first attempt of a request.
     auto onRequest(const base::service_id &service, base::time_point now) -> void;
 
-    //! Takes one repeat from the budget; returns false if none is left in the window that ends at
-    //! `now`.
-    auto tryRepeat(const base::service_id &service, base::time_point now) -> bool;
+    //! Takes one repeat from the budget of the service and, as the repeated request makes its calls
+    //! again, `calls` from those of the called services. Returns false, and takes nothing, if one
+    //! of them has too little left in the window that ends at `now`.
+    auto tryRepeat(const base::service_id &service, base::time_point now,
+                   const std::map<base::service_id, double> &calls = {}) -> bool;
 
     //! Changes this node's part of the slack when the number of nodes changes.
     auto setSlack(double slack) -> void { m_limits.slack = slack; }
@@ -42,7 +45,9 @@
     struct service_state
     {
         std::deque<base::time_point> requestTimes;
-        std::deque<base::time_point> repeatTimes;
+        //! Times and amounts of the repeats within the window, and the sum of the amounts.
+        std::deque<std::pair<base::time_point, double>> repeats;
+        double repeatCount = 0.0;
     };
 
     auto removeExpired(service_state &state, base::time_point now) const -> void;
--- a/src/policy/tests/repeatbudgettest.cpp
+++ b/src/policy/tests/repeatbudgettest.cpp
@@ -1,6 +1,7 @@
 #include "policy/repeatbudget.h"
 
 #include "base/random.h"
+#include "policy/callratio.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -68,3 +69,54 @@
         }
     }
 }
+
+// Guards against calls of repeated requests that exceed the limit of the called service. Load
+// pattern: reads that fail often and make calls to a service whose own requests are repeated too.
+TEST(repeat_budget, countsTheCallsOfRepeatedRequests)
+{
+    const base::service_id called("called");
+    constexpr double SHARE = 0.2;
+    constexpr double SLACK = 10.0;
+    constexpr double CALLS_PER_RUN = 1.4;
+    policy::repeat_budget budget({SHARE, SLACK, WINDOW});
+    base::time_point now{std::chrono::seconds(100)};
+    int calledRequests = 0;
+    double calledRepeats = 0.0;
+    int repeats = 0;
+    for (int i = 0; i < 500; ++i) {
+        now += milliseconds(15);
+        budget.onRequest(SERVICE, now);
+        if (budget.tryRepeat(SERVICE, now, {{called, CALLS_PER_RUN}})) {
+            ++repeats;
+            calledRepeats += CALLS_PER_RUN;
+        }
+        if (i % 2 == 0) {
+            ++calledRequests;
+            budget.onRequest(called, now);
+            calledRepeats += budget.tryRepeat(called, now) ? 1.0 : 0.0;
+        }
+        CHECK(calledRepeats <= SHARE * calledRequests + SLACK + 1e-9);
+    }
+    CHECK(repeats > 0);
+}
+
+TEST_GROUP(call_ratio){};
+
+// Guards against a ratio of calls that mixes up services or keeps values of long ago.
+TEST(call_ratio, followsTheCallsOfTheOwnUpstream)
+{
+    const base::service_id called("called");
+    policy::call_ratio ratio;
+    base::time_point now{std::chrono::seconds(100)};
+    for (int i = 0; i < 200; ++i) {
+        now += milliseconds(100);
+        ratio.onRun(now);
+        ratio.onCall(called, now);
+        if (i % 2 == 0) {
+            ratio.onCall(called, now);
+        }
+    }
+    DOUBLES_EQUAL(1.5, ratio.callsPerRun(now).at(called), 0.05);
+    now += milliseconds(60'000);
+    CHECK(ratio.callsPerRun(now).empty());
+}
