fleet: let the hubs of a region meet, and leave the directory to near hubs

Change: hubs are always in the answer to another region; changes of the hub in use carry the whole record again, still announced by that hub alone; a hub answers a node of another region with the hubs there, unless the node says that it knows them and doesn't reach them.

--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -142,13 +142,14 @@
                                    base::time_point now) const -> messages;
     [[nodiscard]] auto newerDocument(base::config_version version) const
             -> std::optional<config_document>;
+    [[nodiscard]] auto nearerHubsFor(const report &content) const -> std::vector<node_record>;
     auto addDirectoryChanges(report_answer &answer, const report &content) const -> void;
     //! Number of live entry nodes whose records name each hub.
     [[nodiscard]] auto reporterCounts() const -> std::map<base::node_id, std::size_t>;
     [[nodiscard]] auto recordsForOtherRegion(const directory_cursor &cursor) const
             -> std::vector<node_record>;
-    [[nodiscard]] auto movesForOtherRegion(const directory_cursor &cursor) const
-            -> std::vector<node_move>;
+    [[nodiscard]] auto recordsForOwnRegion(const directory_cursor &cursor) const
+            -> std::vector<node_record>;
     [[nodiscard]] auto isServedByOtherRegion(const base::node_id &reportsTo) const -> bool;
     [[nodiscard]] auto regionUsage(base::time_point now) const -> usage_sum;
     [[nodiscard]] auto fleetUsage(base::time_point now) const -> usage_sum;
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -42,6 +42,8 @@
   6: bool probe
   // Digests of the sender's directory; set if the sender has no position in the hub's directory.
   7: optional binary directory_digest
+  // True if the sender knows hubs of its region, but reports to one of another region.
+  8: bool distant
 }
 
 struct report_answer {
@@ -69,14 +71,6 @@
   5: i32 nodes
 }
 
-// A record of which only the hub in use has changed.
-struct node_move {
-  1: string node
-  2: i64 generation
-  3: i64 sequence
-  4: string reports_to
-}
-
 struct sync_answer {
   1: i64 boot
   2: i64 change
@@ -84,7 +78,6 @@
   // Summed usage of the sender's region; set only if the receiver is in another region.
   4: optional list<usage> region_usages
   5: i32 region_nodes
-  6: list<node_move> moves
 }
 
 // Pushed by a hub to its nodes when a version is committed.
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -104,14 +104,35 @@
     }
     m_records.merge(content.sender);
     m_reporters[from] = {now, content.usages};
-    addDirectoryChanges(answer, content);
-    answer.document = newerDocument(content.configVersion);
+    answer.records = nearerHubsFor(content);
+    if (answer.records.empty()) {
+        addDirectoryChanges(answer, content);
+        answer.document = newerDocument(content.configVersion);
+    }
     const auto &sum = recentFleetUsage(now);
     answer.coveredNodeCount = roundToCount(sum.nodeCount);
     answer.usageTotals = totalsFor(content.usages, sum.usages);
     return {toOutgoingMessage(from, answer)};
 }
 
+// Returns the hubs of the sender's region if it should report to one of them: it has just started
+// and knows this hub from its settings only. The directory and documents are then left to that hub,
+// so that they don't cross regions once for each node.
+auto hub::nearerHubsFor(const report &content) const -> std::vector<node_record>
+{
+    const auto &region = content.sender.entry.region;
+    std::vector<node_record> hubs;
+    if (m_options.isDeputy || content.usesDistantHub || region == self().entry.region) {
+        return hubs;
+    }
+    m_records.forEach([&](const node_record &record) {
+        if (record.isAliveHub() && record.entry.region == region) {
+            hubs.push_back(record);
+        }
+    });
+    return hubs;
+}
+
 // Without the directory, because a node that hears no hub probes all hubs in turn, and hubs that
 // hear the probes may be unable to answer it.
 auto hub::answerProbe(const base::node_id &from, const report &content, base::time_point now) const
@@ -156,23 +177,17 @@
         const auto sum = regionUsage(now);
         return {toOutgoingMessage(from, sync_answer{m_records.cursor(),
                                                     recordsForOtherRegion(content.cursor),
-                                                    sum.usages, roundToCount(sum.nodeCount),
-                                                    movesForOtherRegion(content.cursor)})};
+                                                    sum.usages, roundToCount(sum.nodeCount)})};
     }
     auto &peer = m_peers[from];
     peer.lastRequestAt = now;
     peer.usage = {content.localUsages, static_cast<double>(content.localNodeCount)};
     peer.reporterCount = reporterCounts()[from];
-    const auto records = m_records.changedSince(content.cursor);
-    auto moves = m_records.movedSince(content.cursor);
-    // The hub in use of the other nodes announces their moves itself.
-    std::erase_if(moves,
-                  [this](const node_move &move) { return move.reportsTo != self().entry.id; });
-    if (records.empty() && moves.empty()) {
+    const auto records = recordsForOwnRegion(content.cursor);
+    if (records.empty()) {
         return {};
     }
-    return {toOutgoingMessage(from,
-                              sync_answer{m_records.cursor(), records, std::nullopt, 0, moves})};
+    return {toOutgoingMessage(from, sync_answer{m_records.cursor(), records, std::nullopt, 0})};
 }
 
 auto hub::onSyncAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
@@ -196,12 +211,6 @@
             m_reporters.erase(record.entry.id);
         }
     }
-    for (const auto &move : content.moves) {
-        if (move.node != self().entry.id && m_records.merge(move)
-            && move.reportsTo != self().entry.id) {
-            m_reporters.erase(move.node);
-        }
-    }
 }
 
 auto hub::onUsageUpdate(const base::node_id &from, const usage_update &content) -> void
@@ -368,25 +377,33 @@
     return counts;
 }
 
+// A change of the hub in use is announced by that hub alone: if all hubs passed it on, the traffic
+// of an election would grow with the square of their number.
+auto hub::recordsForOwnRegion(const directory_cursor &cursor) const -> std::vector<node_record>
+{
+    auto records = m_records.changedSince(cursor);
+    for (const auto &record : m_records.movedSince(cursor)) {
+        if (record.reportsTo == self().entry.id) {
+            records.push_back(record);
+        }
+    }
+    return records;
+}
+
 // Leaves out nodes that report to a hub of another region: that region gets their records from its
-// own hubs, and a third region queries it for them.
+// own hubs, and a third region queries it for them. Hubs are never left out: if all contacts are in
+// this region, the hubs of another one learn of each other only here.
 auto hub::recordsForOtherRegion(const directory_cursor &cursor) const -> std::vector<node_record>
 {
     auto records = m_records.changedSince(cursor);
+    const auto moved = m_records.movedSince(cursor);
+    records.insert(records.end(), moved.begin(), moved.end());
     std::erase_if(records, [this](const node_record &record) {
-        return isServedByOtherRegion(record.reportsTo);
+        return !record.isHub && isServedByOtherRegion(record.reportsTo);
     });
     return records;
 }
 
-auto hub::movesForOtherRegion(const directory_cursor &cursor) const -> std::vector<node_move>
-{
-    auto moves = m_records.movedSince(cursor);
-    std::erase_if(moves,
-                  [this](const node_move &move) { return isServedByOtherRegion(move.reportsTo); });
-    return moves;
-}
-
 auto hub::isServedByOtherRegion(const base::node_id &reportsTo) const -> bool
 {
     const auto region = regionOf(reportsTo);
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -141,32 +141,6 @@
     return out;
 }
 
-auto toWire(const std::vector<node_move> &items) -> std::vector<wire::node_move>
-{
-    std::vector<wire::node_move> out;
-    out.reserve(items.size());
-    for (const auto &item : items) {
-        wire::node_move move;
-        move.node = item.node.str();
-        move.generation = static_cast<std::int64_t>(item.generation);
-        move.sequence = static_cast<std::int64_t>(item.sequence);
-        move.reports_to = item.reportsTo.str();
-        out.push_back(std::move(move));
-    }
-    return out;
-}
-
-auto fromWire(const std::vector<wire::node_move> &items) -> std::vector<node_move>
-{
-    std::vector<node_move> out;
-    out.reserve(items.size());
-    for (const auto &item : items) {
-        out.push_back({base::node_id(item.node), static_cast<std::uint64_t>(item.generation),
-                       static_cast<std::uint64_t>(item.sequence), base::node_id(item.reports_to)});
-    }
-    return out;
-}
-
 auto cursorFromWire(std::int64_t bootId, std::int64_t changeNumber) -> directory_cursor
 {
     return {static_cast<std::uint64_t>(bootId), static_cast<std::uint64_t>(changeNumber)};
@@ -232,6 +206,7 @@
         encoded.version = static_cast<std::int64_t>(content.configVersion);
         encoded.usages = toWire(content.usages);
         encoded.probe = content.isProbe;
+        encoded.distant = content.usesDistantHub;
         if (content.directoryDigest) {
             encoded.__set_directory_digest(content.directoryDigest->toBytes());
         }
@@ -273,7 +248,6 @@
             encoded.__set_region_usages(toWire(*content.regionUsages));
         }
         encoded.region_nodes = static_cast<std::int32_t>(content.regionNodeCount);
-        encoded.moves = toWire(content.moves);
         out.__set_synced(encoded);
     }
     auto operator()(const config_notice &content) const -> void
@@ -388,7 +362,8 @@
                       static_cast<base::config_version>(encoded.version),
                       fromWire(encoded.usages),
                       encoded.probe,
-                      digestFromWire(encoded.__isset.directory_digest, encoded.directory_digest)};
+                      digestFromWire(encoded.__isset.directory_digest, encoded.directory_digest),
+                      encoded.distant};
     }
     if (decoded->__isset.answer) {
         return reportAnswerFromWire(decoded->answer);
@@ -405,7 +380,6 @@
         const auto &encoded = decoded->synced;
         sync_answer answer{cursorFromWire(encoded.boot, encoded.change), fromWire(encoded.records),
                            std::nullopt, nodeCountFromWire(encoded.region_nodes)};
-        answer.moves = fromWire(encoded.moves);
         if (encoded.__isset.region_usages) {
             answer.regionUsages = fromWire(encoded.region_usages);
         }
--- a/src/fleet/internal/recordtable.cpp
+++ b/src/fleet/internal/recordtable.cpp
@@ -41,18 +41,6 @@
     return found == m_records.end() ? nullptr : &found->second.record;
 }
 
-auto record_table::merge(const node_move &move) -> bool
-{
-    const auto *known = find(move.node);
-    if (known == nullptr || known->generation != move.generation) {
-        return false;
-    }
-    auto record = *known;
-    record.sequence = move.sequence;
-    record.reportsTo = move.reportsTo;
-    return merge(record);
-}
-
 auto record_table::changedSince(const directory_cursor &readerCursor) const
         -> std::vector<node_record>
 {
@@ -64,19 +52,19 @@
     return changed;
 }
 
-auto record_table::movedSince(const directory_cursor &readerCursor) const -> std::vector<node_move>
+auto record_table::movedSince(const directory_cursor &readerCursor) const
+        -> std::vector<node_record>
 {
     const auto lastRead = lastChangeReadBy(readerCursor);
-    std::vector<node_move> moves;
+    std::vector<node_record> moved;
     for (auto change = m_nodeByChangeNumber.upper_bound(lastRead);
          change != m_nodeByChangeNumber.end(); ++change) {
         const auto &item = m_records.at(change->second);
         if (item.contentChangeNumber <= lastRead) {
-            moves.push_back({change->second, item.record.generation, item.record.sequence,
-                             item.record.reportsTo});
+            moved.push_back(item.record);
         }
     }
-    return moves;
+    return moved;
 }
 
 auto record_table::differingFrom(const directory_digest &reader) const -> std::vector<node_record>
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -138,14 +138,15 @@
     if (from != m_hub) {
         return {};
     }
-    const bool isPositionRejected = answer.cursor.bootId == 0 && m_cursors[from].bootId != 0;
+    // The hub has restarted and needs the digest of the directory, or it knows nearer hubs.
+    const bool mustReportAgain =
+            answer.cursor.bootId == 0 && (m_cursors[from].bootId != 0 || !m_reportedAsDistant);
     m_isAwaitingAnswer = false;
     m_unansweredReports = 0;
     m_failedHubCount = 0;
     applyAnswer(answer);
     m_callbacks.onTotals(answer.usageTotals, coverageShare(answer.coveredNodeCount));
-    if (isPositionRejected) {
-        // The hub has restarted; it gets the digest of the directory without delay.
+    if (mustReportAgain && !m_usesDeputy) {
         return sendReport(now);
     }
     if (m_usesDeputy) {
@@ -212,9 +213,20 @@
     if (nodeReport.cursor.bootId == 0) {
         nodeReport.directoryDigest = m_records.digest();
     }
+    nodeReport.usesDistantHub = distanceTo(m_hub) > 1 && knowsNearHub();
+    m_reportedAsDistant = nodeReport.usesDistantHub;
     return {toOutgoingMessage(m_hub, nodeReport)};
 }
 
+auto reporter::knowsNearHub() const -> bool
+{
+    bool isKnown = false;
+    m_records.forEach([&](const node_record &record) {
+        isKnown = isKnown || (record.isAliveHub() && record.entry.region == m_self.entry.region);
+    });
+    return isKnown;
+}
+
 auto reporter::distanceTo(const base::node_id &node) const -> int
 {
     const auto *record = m_records.find(node);
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -105,6 +105,9 @@
     bool isProbe = false;
     //! Digest of the sender's directory; set if `cursor` is empty.
     std::optional<directory_digest> directoryDigest = std::nullopt;
+    //! True if the sender knows hubs of its region, but reports to one of another region because it
+    //! doesn't reach them.
+    bool usesDistantHub = false;
 };
 
 struct report_answer
@@ -140,17 +143,6 @@
     std::uint32_t localNodeCount = 0;
 };
 
-//! Change of a record that concerns only the hub in use.
-struct node_move
-{
-    base::node_id node;
-    std::uint64_t generation = 0;
-    std::uint64_t sequence = 0;
-    base::node_id reportsTo;
-
-    auto operator<=>(const node_move &) const = default;
-};
-
 struct sync_answer
 {
     //! Position of the sender's directory that the reader has reached with `records`.
@@ -160,8 +152,6 @@
     std::optional<base::usage_map> regionUsages;
     //! Number of entry nodes in this sum.
     std::uint32_t regionNodeCount = 0;
-    //! Changes of further records.
-    std::vector<node_move> moves = {};
 };
 
 //! Pushes a newly committed document to a node.
--- a/src/fleet/recordtable.h
+++ b/src/fleet/recordtable.h
@@ -30,18 +30,14 @@
         return readerCursor.bootId == m_bootId && readerCursor.changeNumber <= m_lastChangeNumber;
     }
 
-    //! Applies a change of the hub in use to the record of the same start of the node; returns true
-    //! if the record was older.
-    auto merge(const node_move &move) -> bool;
-
     //! Returns the records of which more than the hub in use changed after `readerCursor`, or all
     //! records if the table does not contain the cursor.
     [[nodiscard]] auto changedSince(const directory_cursor &readerCursor) const
             -> std::vector<node_record>;
 
-    //! Returns the other changes after `readerCursor`.
+    //! Returns the other records that changed after `readerCursor`.
     [[nodiscard]] auto movedSince(const directory_cursor &readerCursor) const
-            -> std::vector<node_move>;
+            -> std::vector<node_record>;
 
     //! Returns the records in the groups of nodes whose content differs from that of a reader.
     [[nodiscard]] auto differingFrom(const directory_digest &reader) const
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -98,6 +98,7 @@
     auto probeNextHub(base::time_point now) -> messages;
     auto applyAnswer(const report_answer &answer) -> void;
     [[nodiscard]] auto coverageShare(std::uint32_t coveredNodeCount) const -> double;
+    [[nodiscard]] auto knowsNearHub() const -> bool;
     auto switchHub(const base::node_id &hub) -> void;
     [[nodiscard]] auto preferredDeputy(base::time_point now) const -> base::node_id;
     [[nodiscard]] auto hubsByPreference(base::time_point now) const -> std::vector<base::node_id>;
@@ -127,6 +128,8 @@
     //! Hubs that failed since the last answer of the hub in use.
     int m_failedHubCount = 0;
     bool m_usesDeputy = false;
+    //! `report::usesDistantHub` of the last report.
+    bool m_reportedAsDistant = false;
     //! Hub with a pending probe, empty if there is none.
     base::node_id m_probedHub;
     base::time_point m_probeSentAt;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -76,10 +76,12 @@
 class directory_fleet
 {
 public:
-    directory_fleet(int nodeCount, int hubCount) : m_network(11, {0.02, 0.02}), m_nodes(nodeCount)
+    //! `contacts` are the hubs that all nodes know at their start.
+    directory_fleet(int nodeCount, int hubCount, const std::vector<int> &contacts = {0, 1, 2})
+        : m_network(11, {0.02, 0.02}), m_nodes(nodeCount)
     {
-        for (int i = 0; i < 3; ++i) {
-            m_contacts.push_back(nodeIdOf(i));
+        for (const int contact : contacts) {
+            m_contacts.push_back(nodeIdOf(contact));
         }
         for (int i = 0; i < nodeCount; ++i) {
             startNode(i, i < hubCount, 1);
@@ -153,6 +155,8 @@
     //! Number of directory messages received from a node of another region so far.
     auto interRegionMessageCount() const -> int { return m_interRegionMessageCount; }
 
+    auto interRegionBytes() const -> std::size_t { return m_interRegionBytes; }
+
     auto publish(int hub, base::config_version version) -> void
     {
         auto out = node(hub).hub->publish({version, "content"}, m_network.now());
@@ -172,7 +176,10 @@
         const auto receive = [this, &node, region](const base::node_id &from,
                                                    base::channel /*kind*/, std::string_view payload,
                                                    base::time_point now) {
-            m_interRegionMessageCount += regionOf(from) != region ? 1 : 0;
+            if (regionOf(from) != region) {
+                ++m_interRegionMessageCount;
+                m_interRegionBytes += payload.size();
+            }
             const auto content = fleet::decodeMessage(payload);
             auto out = node.reporter->receive(from, *content, now);
             auto hubMessages = node.hub ? node.hub->receive(from, *content, now)
@@ -201,6 +208,7 @@
 
     testsupport::virtual_network m_network;
     int m_interRegionMessageCount = 0;
+    std::size_t m_interRegionBytes = 0;
     std::vector<directory_node> m_nodes;
     std::vector<base::node_id> m_contacts;
 };
@@ -509,6 +517,59 @@
     }
 }
 
+// Guards against nodes that fetch the growing directory from contacts in another region when all
+// nodes start: each node must learn the hubs of its region there, and the rest from these.
+TEST(directory, startCostsLittleTrafficBetweenRegions)
+{
+    constexpr int HUB_COUNT = 12;
+    constexpr int NODE_COUNT = 200;
+    directory_fleet fleet(NODE_COUNT, HUB_COUNT, {0, 2, 4});
+    for (int step = 0; step < 8; ++step) {
+        for (int i = HUB_COUNT; i < NODE_COUNT; ++i) {
+            if (i % 8 == step) {
+                fleet.node(i).reporter->setUpstreams({makeUpstream("u" + std::to_string(i))});
+            }
+        }
+        fleet.run(milliseconds(400));
+    }
+    fleet.run(milliseconds(2000));
+    for (int i = 0; i < NODE_COUNT; ++i) {
+        CHECK_EQUAL(NODE_COUNT - HUB_COUNT, fleet.upstreamCountSeenBy(i));
+    }
+    const auto message = std::to_string(fleet.interRegionBytes());
+    // Each hub gets each record twice, with and without its upstream; each node gets the hubs once.
+    constexpr std::size_t RECORD_BYTES = 110;
+    constexpr std::size_t MAX_BYTES =
+            (2 * HUB_COUNT * NODE_COUNT + NODE_COUNT * HUB_COUNT / 2) * RECORD_BYTES;
+    CHECK_TEXT(fleet.interRegionBytes() <= MAX_BYTES, message.c_str());
+}
+
+// Guards against a node that gets no directory because the hubs of its region are known but can't
+// be reached: a hub of the other region then serves it in full.
+TEST(directory, distantHubServesNodesWithoutAReachableNearHub)
+{
+    constexpr int HUB_COUNT = 8;
+    directory_fleet fleet(24, HUB_COUNT);
+    for (int hub = 1; hub < HUB_COUNT; hub += 2) {
+        for (int i = HUB_COUNT + 1; i < 24; i += 2) {
+            fleet.network().cut(nodeIdOf(hub), nodeIdOf(i));
+        }
+    }
+    fleet.run(milliseconds(8000));
+    for (int i = HUB_COUNT; i < 24; ++i) {
+        fleet.node(i).reporter->setUpstreams({makeUpstream("u" + std::to_string(i))});
+    }
+    fleet.publish(0, 3);
+    fleet.publish(2, 3);
+    fleet.publish(4, 3);
+    fleet.publish(6, 3);
+    fleet.run(milliseconds(5000));
+    for (int i = HUB_COUNT; i < 24; ++i) {
+        CHECK_EQUAL(24 - HUB_COUNT, fleet.upstreamCountSeenBy(i));
+        CHECK_EQUAL(3, fleet.node(i).version);
+    }
+}
+
 // Guards against records of hubs that never stop changing: a hub has one record, also while it
 // reports to other hubs in turn, so its generation stays that of its start.
 TEST(directory, recordsOfHubsSettleWhileHubsMove)
