--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <atomic>
 #include <cstdio>
+#include <thread>
 
 using namespace hawthornpick;
 using namespace hawthornpick::testing;
@@ -385,6 +386,63 @@
     CHECK_TRUE(waitUntil([&isDrained] { return isDrained.load(); }));
 }
 
+namespace {
+
+//! Sends requests on a kept connection until the node closes it, and counts those that the upstream
+//! received and whose caller got no complete response.
+auto countCutRequests(std::uint16_t port, scripted_upstream &upstream, const std::string &name)
+        -> int
+{
+    raw_client client(port);
+    for (int i = 0; !client.isClosed(); ++i) {
+        const auto id = name + "-" + std::to_string(i) + ";";
+        client.send("GET /open/" + id + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        if (client.readResponse().find("\r\n\r\nx") != std::string::npos) {
+            continue;
+        }
+        const auto heads = upstream.heads();
+        return static_cast<int>(std::count_if(heads.begin(), heads.end(), [&id](const auto &head) {
+            return head.find(id) != std::string::npos;
+        }));
+    }
+    return 0;
+}
+
+} // namespace
+
+// Guards against requests that are accepted in the moments around a planned stop and then cut:
+// under load, each request that reached the upstream must get its response.
+TEST(request_path_test, drainUnderLoadCutsNoRequest)
+{
+    constexpr int STOPS = 30;
+    constexpr int CALLERS = 6;
+    for (int stop = 0; stop < STOPS; ++stop) {
+        scripted_upstream upstream([](raw_client &peer, const std::string &, int number) {
+            std::this_thread::sleep_for(base::milliseconds(number % 4));
+            return respondWith("x")(peer, {}, number);
+        });
+        test_node node;
+        node.announce("u1", upstream.port(), CALLERS);
+        std::atomic<int> cutRequests{0};
+        std::vector<std::thread> callers;
+        for (int i = 0; i < CALLERS; ++i) {
+            callers.emplace_back([&, i] {
+                cutRequests +=
+                        countCutRequests(node.port(), upstream, "caller" + std::to_string(i));
+            });
+        }
+        CHECK(waitUntil([&upstream] { return upstream.heads().size() >= 4 * CALLERS; }));
+        std::this_thread::sleep_for(std::chrono::microseconds(370 * stop));
+        std::atomic<bool> isDrained{false};
+        node.server().drain([&isDrained] { isDrained = true; });
+        CHECK(waitUntil([&isDrained] { return isDrained.load(); }));
+        for (auto &caller : callers) {
+            caller.join();
+        }
+        CHECK_EQUAL(0, cutRequests.load());
+    }
+}
+
 // Guards against headers and bodies without a size limit.
 TEST(request_path_test, oversizedHeadersAndBodiesAreRefused)
 {
--- a/src/caller/tests/testnode.cpp
+++ b/src/caller/tests/testnode.cpp
@@ -45,7 +45,8 @@
 }
 
 test_node::test_node(const std::string &name, config::config_set set, std::uint32_t maxConnections,
-                     const std::function<void(caller::entry_hooks &)> &adjustHooks)
+                     const std::function<void(caller::entry_hooks &)> &adjustHooks,
+                     const upstream::wire_profile &wire)
     : m_name(name), m_configuration(std::make_shared<const config::snapshot>(1, std::move(set))),
       m_fleet(std::make_shared<const membership::view>()),
       m_selector(policy::selector_settings{base::node_id(name), base::region_id("r1")}, 1),
@@ -66,9 +67,8 @@
     m_upstreams = std::make_unique<upstream::upstream_service>(
             std::vector{&m_context}, membership::endpoint{"127.0.0.1", 0},
             upstream::service_dependencies{base::node_id(name), INCARNATION, m_configuration, hooks,
-                                           [this](const auto &entries) {
-                                               publish(entries);
-                                           }});
+                                           [this](const auto &entries) { publish(entries); },
+                                           wire});
     m_links = std::make_unique<peer::link_pool>(
             m_context, peer::link_identity{base::node_id(name), INCARNATION, "secret", ""},
             [this](peer::stream_pointer incoming) {
@@ -89,7 +89,8 @@
                                         {m_links.get()},
                                         m_metrics,
                                         entryHooks,
-                                        maxConnections});
+                                        maxConnections,
+                                        wire});
     acceptLinks();
     m_thread = std::thread([this] { m_context.run(); });
 }
--- a/src/caller/tests/testnode.h
+++ b/src/caller/tests/testnode.h
@@ -27,7 +27,8 @@
 public:
     explicit test_node(const std::string &name = "n1", config::config_set set = testConfiguration(),
                        std::uint32_t maxConnections = 100,
-                       const std::function<void(caller::entry_hooks &)> &adjustHooks = nullptr);
+                       const std::function<void(caller::entry_hooks &)> &adjustHooks = nullptr,
+                       const upstream::wire_profile &wire = {});
     ~test_node();
     test_node(const test_node &) = delete;
     auto operator=(const test_node &) -> test_node & = delete;
