--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -15,6 +15,23 @@
     endif()
 endfunction()
 
+# hawthornpick_known_red_arguments(<name> <variable>)
+#
+# Sets the variable to the arguments that leave out the tests of a test binary that KNOWN-RED.txt lists.
+function(hawthornpick_known_red_arguments name variable)
+    set(excluded)
+    if(EXISTS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+        set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
+                                               ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+        file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt lines REGEX "^${name} ")
+        foreach(line IN LISTS lines)
+            string(REGEX REPLACE "^${name} ([^ .]+)[.]([^ ]+).*" "\\2" test "${line}")
+            list(APPEND excluded -xsn ${test})
+        endforeach()
+    endif()
+    set(${variable} ${excluded} PARENT_SCOPE)
+endfunction()
+
 # hawthornpick_test(NAME <name> SOURCES <files> [DEPENDS <targets>])
 #
 # Defines one CppUTest binary, registered with ctest under <name>. Tests of it that KNOWN-RED.txt lists
@@ -27,16 +44,7 @@
     add_executable(${ARG_NAME} ${ARG_SOURCES} ${CMAKE_SOURCE_DIR}/tests/support/testmain.cpp)
     target_link_libraries(${ARG_NAME} PRIVATE hawthornpick_options ${ARG_DEPENDS} CppUTest)
     target_include_directories(${ARG_NAME} PRIVATE ${CMAKE_SOURCE_DIR})
-    set(excluded)
-    if(EXISTS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
-        set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
-                                               ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
-        file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt lines REGEX "^${ARG_NAME} ")
-        foreach(line ${lines})
-            string(REGEX REPLACE "^${ARG_NAME} ([^ .]+)[.]([^ ]+).*" "\\2" test "${line}")
-            list(APPEND excluded -xsn ${test})
-        endforeach()
-    endif()
+    hawthornpick_known_red_arguments(${ARG_NAME} excluded)
     add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME} ${excluded})
     set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT 300)
 endfunction()
