fleet: keep one index of changes in the record table

Cause: the table held a second index for changes of more than the hub in use, which the numbers in the records already tell; its users joined and filtered two lists. Live hubs of a region were searched for in two places. Change: one walk over the changes with a predicate serves the three readers; aliveHubsIn serves the hub and the reporter. Records come in the order of their last change.

--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -148,8 +148,6 @@
     [[nodiscard]] auto reporterCounts() const -> std::map<base::node_id, std::size_t>;
     [[nodiscard]] auto recordsForOtherRegion(const directory_cursor &cursor) const
             -> std::vector<node_record>;
-    [[nodiscard]] auto recordsForOwnRegion(const directory_cursor &cursor) const
-            -> std::vector<node_record>;
     [[nodiscard]] auto isServedByOtherRegion(const base::node_id &reportsTo) const -> bool;
     [[nodiscard]] auto regionUsage(base::time_point now) const -> usage_sum;
     [[nodiscard]] auto fleetUsage(base::time_point now) const -> usage_sum;
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -121,16 +121,10 @@
 auto hub::nearerHubsFor(const report &content) const -> std::vector<node_record>
 {
     const auto &region = content.sender.entry.region;
-    std::vector<node_record> hubs;
     if (m_options.isDeputy || content.usesDistantHub || region == self().entry.region) {
-        return hubs;
+        return {};
     }
-    m_records.forEach([&](const node_record &record) {
-        if (record.isAliveHub() && record.entry.region == region) {
-            hubs.push_back(record);
-        }
-    });
-    return hubs;
+    return m_records.aliveHubsIn(region);
 }
 
 // Without the directory, because a node that hears no hub probes all hubs in turn, and hubs that
@@ -183,7 +177,9 @@
     peer.lastRequestAt = now;
     peer.usage = {content.localUsages, static_cast<double>(content.localNodeCount)};
     peer.reporterCount = reporterCounts()[from];
-    const auto records = recordsForOwnRegion(content.cursor);
+    // A change of the hub in use is announced by that hub alone: if all hubs passed it on, the
+    // traffic of an election would grow with the square of their number.
+    const auto records = m_records.changedOrReportingTo(self().entry.id, content.cursor);
     if (records.empty()) {
         return {};
     }
@@ -377,27 +373,12 @@
     return counts;
 }
 
-// A change of the hub in use is announced by that hub alone: if all hubs passed it on, the traffic
-// of an election would grow with the square of their number.
-auto hub::recordsForOwnRegion(const directory_cursor &cursor) const -> std::vector<node_record>
-{
-    auto records = m_records.changedSince(cursor);
-    for (const auto &record : m_records.movedSince(cursor)) {
-        if (record.reportsTo == self().entry.id) {
-            records.push_back(record);
-        }
-    }
-    return records;
-}
-
 // Leaves out nodes that report to a hub of another region: that region gets their records from its
 // own hubs, and a third region queries it for them. Hubs are never left out: if all contacts are in
 // this region, the hubs of another one learn of each other only here.
 auto hub::recordsForOtherRegion(const directory_cursor &cursor) const -> std::vector<node_record>
 {
-    auto records = m_records.changedSince(cursor);
-    const auto moved = m_records.movedSince(cursor);
-    records.insert(records.end(), moved.begin(), moved.end());
+    auto records = m_records.allChangedSince(cursor);
     std::erase_if(records, [this](const node_record &record) {
         return !record.isHub && isServedByOtherRegion(record.reportsTo);
     });
--- a/src/fleet/internal/recordtable.cpp
+++ b/src/fleet/internal/recordtable.cpp
@@ -27,9 +27,7 @@
             m_digest.toggle(stored.record);
         }
         m_digest.toggle(record);
-        m_nodeByContentChangeNumber.erase(stored.contentChangeNumber);
         stored.contentChangeNumber = stored.changeNumber;
-        m_nodeByContentChangeNumber[stored.contentChangeNumber] = record.entry.id;
     }
     stored.record = record;
     return true;
@@ -41,30 +39,41 @@
     return found == m_records.end() ? nullptr : &found->second.record;
 }
 
+auto record_table::aliveHubsIn(const base::region_id &region) const -> std::vector<node_record>
+{
+    std::vector<node_record> hubs;
+    forEach([&](const node_record &record) {
+        if (record.isAliveHub() && record.entry.region == region) {
+            hubs.push_back(record);
+        }
+    });
+    return hubs;
+}
+
+auto record_table::allChangedSince(const directory_cursor &readerCursor) const
+        -> std::vector<node_record>
+{
+    return changesAfter(lastChangeReadBy(readerCursor),
+                        [](const numbered_record &) { return true; });
+}
+
 auto record_table::changedSince(const directory_cursor &readerCursor) const
         -> std::vector<node_record>
 {
-    std::vector<node_record> changed;
-    for (auto change = m_nodeByContentChangeNumber.upper_bound(lastChangeReadBy(readerCursor));
-         change != m_nodeByContentChangeNumber.end(); ++change) {
-        changed.push_back(m_records.at(change->second).record);
-    }
-    return changed;
+    const auto lastRead = lastChangeReadBy(readerCursor);
+    return changesAfter(lastRead, [lastRead](const numbered_record &item) {
+        return item.contentChangeNumber > lastRead;
+    });
 }
 
-auto record_table::movedSince(const directory_cursor &readerCursor) const
+auto record_table::changedOrReportingTo(const base::node_id &hub,
+                                        const directory_cursor &readerCursor) const
         -> std::vector<node_record>
 {
     const auto lastRead = lastChangeReadBy(readerCursor);
-    std::vector<node_record> moved;
-    for (auto change = m_nodeByChangeNumber.upper_bound(lastRead);
-         change != m_nodeByChangeNumber.end(); ++change) {
-        const auto &item = m_records.at(change->second);
-        if (item.contentChangeNumber <= lastRead) {
-            moved.push_back(item.record);
-        }
-    }
-    return moved;
+    return changesAfter(lastRead, [lastRead, &hub](const numbered_record &item) {
+        return item.contentChangeNumber > lastRead || item.record.reportsTo == hub;
+    });
 }
 
 auto record_table::differingFrom(const directory_digest &reader) const -> std::vector<node_record>
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -213,20 +213,12 @@
     if (nodeReport.cursor.bootId == 0) {
         nodeReport.directoryDigest = m_records.digest();
     }
-    nodeReport.usesDistantHub = distanceTo(m_hub) > 1 && knowsNearHub();
+    nodeReport.usesDistantHub =
+            distanceTo(m_hub) > 1 && !m_records.aliveHubsIn(m_self.entry.region).empty();
     m_reportedAsDistant = nodeReport.usesDistantHub;
     return {toOutgoingMessage(m_hub, nodeReport)};
 }
 
-auto reporter::knowsNearHub() const -> bool
-{
-    bool isKnown = false;
-    m_records.forEach([&](const node_record &record) {
-        isKnown = isKnown || (record.isAliveHub() && record.entry.region == m_self.entry.region);
-    });
-    return isKnown;
-}
-
 auto reporter::distanceTo(const base::node_id &node) const -> int
 {
     const auto *record = m_records.find(node);
--- a/src/fleet/recordtable.h
+++ b/src/fleet/recordtable.h
@@ -35,10 +35,18 @@
     [[nodiscard]] auto changedSince(const directory_cursor &readerCursor) const
             -> std::vector<node_record>;
 
-    //! Returns the other records that changed after `readerCursor`.
-    [[nodiscard]] auto movedSince(const directory_cursor &readerCursor) const
+    //! As `changedSince`, with the records of which only the hub in use changed.
+    [[nodiscard]] auto allChangedSince(const directory_cursor &readerCursor) const
             -> std::vector<node_record>;
 
+    //! As `changedSince`, with those records of which only the hub in use changed, to `hub`.
+    [[nodiscard]] auto changedOrReportingTo(const base::node_id &hub,
+                                            const directory_cursor &readerCursor) const
+            -> std::vector<node_record>;
+
+    //! Returns the records of the live hubs of a region.
+    [[nodiscard]] auto aliveHubsIn(const base::region_id &region) const -> std::vector<node_record>;
+
     //! Returns the records in the groups of nodes whose content differs from that of a reader.
     [[nodiscard]] auto differingFrom(const directory_digest &reader) const
             -> std::vector<node_record>;
@@ -62,7 +70,20 @@
         //! Number of the last change of anything but the hub in use.
         std::uint64_t contentChangeNumber = 0;
     };
-    using change_index = std::map<std::uint64_t, base::node_id>;
+
+    template <typename Predicate>
+    auto changesAfter(std::uint64_t lastRead, Predicate isWanted) const -> std::vector<node_record>
+    {
+        std::vector<node_record> changes;
+        for (auto change = m_nodeByChangeNumber.upper_bound(lastRead);
+             change != m_nodeByChangeNumber.end(); ++change) {
+            const auto &item = m_records.at(change->second);
+            if (isWanted(item)) {
+                changes.push_back(item.record);
+            }
+        }
+        return changes;
+    }
 
     [[nodiscard]] auto lastChangeReadBy(const directory_cursor &reader) const -> std::uint64_t
     {
@@ -72,8 +93,7 @@
     std::uint64_t m_bootId;
     std::uint64_t m_lastChangeNumber = 0;
     std::map<base::node_id, numbered_record> m_records;
-    change_index m_nodeByChangeNumber;
-    change_index m_nodeByContentChangeNumber;
+    std::map<std::uint64_t, base::node_id> m_nodeByChangeNumber;
     directory_digest m_digest;
 };
 
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -98,7 +98,6 @@
     auto probeNextHub(base::time_point now) -> messages;
     auto applyAnswer(const report_answer &answer) -> void;
     [[nodiscard]] auto coverageShare(std::uint32_t coveredNodeCount) const -> double;
-    [[nodiscard]] auto knowsNearHub() const -> bool;
     auto switchHub(const base::node_id &hub) -> void;
     [[nodiscard]] auto preferredDeputy(base::time_point now) const -> base::node_id;
     [[nodiscard]] auto hubsByPreference(base::time_point now) const -> std::vector<base::node_id>;
