limits: calculate the usage of an organisation in one place

Cause: report and changedUsage each decayed demand, dropped expired admissions and built the same pair. Change: currentUsage does it for both. Result: limits_test passes unchanged.

--- a/src/limits/fleetratelimiter.h
+++ b/src/limits/fleetratelimiter.h
@@ -143,6 +143,7 @@
     auto findOrCreateState(const base::organisation_id &organisation) -> usage_state &;
     static auto decayDemand(usage_state &state, base::time_point now) -> void;
     static auto dropExpired(usage_state &state, base::time_point now) -> void;
+    static auto currentUsage(usage_state &state, base::time_point now) -> base::rate_usage;
     static auto estimateOwnDemandInTotals(const usage_state &state, double evenShare) -> double;
     [[nodiscard]] auto shareFor(const usage_state &state) const -> double;
     auto refillTokens(usage_state &state, const rate_limit &limit, double share,
--- a/src/limits/internal/fleetratelimiter.cpp
+++ b/src/limits/internal/fleetratelimiter.cpp
@@ -226,15 +226,20 @@
                || usage.admitted >= NEAR_LIMIT_FRACTION * windowRequests(limit));
 }
 
+auto fleet_rate_limiter::currentUsage(usage_state &state, base::time_point now) -> base::rate_usage
+{
+    decayDemand(state, now);
+    dropExpired(state, now);
+    return {state.decayedRequests / base::toSeconds(DEMAND_DECAY_TIME),
+            static_cast<double>(state.admissions.size())};
+}
+
 auto fleet_rate_limiter::changedUsage(base::time_point now) -> base::usage_map
 {
     base::usage_map usage;
     for (auto &[organisation, state] : m_states) {
         if (std::exchange(state.hasUnreportedRequests, false)) {
-            decayDemand(state, now);
-            dropExpired(state, now);
-            usage[organisation] = {state.decayedRequests / base::toSeconds(DEMAND_DECAY_TIME),
-                                   static_cast<double>(state.admissions.size())};
+            usage[organisation] = currentUsage(state, now);
         }
     }
     return usage;
@@ -301,14 +306,14 @@
 {
     base::usage_map usage;
     for (auto &[organisation, state] : m_states) {
-        decayDemand(state, now);
-        dropExpired(state, now);
-        const double demand = state.decayedRequests / base::toSeconds(DEMAND_DECAY_TIME);
-        const double reportedDemand = demand >= MIN_REPORTED_DEMAND_PER_S ? demand : 0.0;
-        state.demandReports.emplace_back(now, reportedDemand);
+        auto reported = currentUsage(state, now);
+        if (reported.demand < MIN_REPORTED_DEMAND_PER_S) {
+            reported.demand = 0.0;
+        }
+        state.demandReports.emplace_back(now, reported.demand);
         state.hasUnreportedRequests = false;
-        if (reportedDemand > 0.0 || !state.admissions.empty()) {
-            usage[organisation] = {reportedDemand, static_cast<double>(state.admissions.size())};
+        if (reported.demand > 0.0 || !state.admissions.empty()) {
+            usage[organisation] = reported;
         }
     }
     return usage;
