tests: reproduce a request that ends upstream after upstream

Cause: not fixed here.

Change: mesh_test runs a mesh of real processes whose stand-in upstreams end when they run a request. The fleet of the soak takes a handler for its upstreams and can end them; child processes no longer inherit the listening sockets of stand-ins, which kept the ports of ended ones open.

--- /dev/null
+++ b/tests/mesh/crashingrequesttest.cpp
@@ -0,0 +1,198 @@
+#include "base/random.h"
+#include "platform/internal/wirenames.h"
+#include "platform/tests/messages.h"
+#include "tests/process/httpclient.h"
+#include "tests/support/meshfleet.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <iostream>
+#include <mutex>
+#include <unistd.h>
+
+using namespace hawthornpick;
+using processtest::http_answer;
+using processtest::http_client;
+using testsupport::mesh_fleet;
+
+namespace {
+
+namespace messages = platform::messages;
+
+constexpr testsupport::fleet_size FLEET_SIZE{3, 8};
+constexpr base::milliseconds RESTART_TIME{2000};
+constexpr base::milliseconds WORK_TIME{30};
+constexpr base::milliseconds START_LIMIT{30'000};
+//! Time after the third upstream that a request has ended in which every node learns of it.
+constexpr base::milliseconds LEARNING_TIME{3000};
+//! Upstreams that the request may still reach after that.
+constexpr int MAX_LATE_ENDS = 3;
+constexpr std::uint64_t DEADLINE_MS = 3000;
+constexpr unsigned NARROW_RATE = 1000;
+const std::string CRASHING_PATH_END = "crash";
+
+//! Mesh whose upstreams end as soon as they run a request whose path ends in "crash".
+class crashing_fleet
+{
+public:
+    crashing_fleet()
+        : m_fleet(HAWTHORNPICK_BINARY,
+                  std::filesystem::temp_directory_path()
+                          / ("hawthornpick-mesh-" + std::to_string(getpid())),
+                  FLEET_SIZE, [this](int node, webapi::request incoming) {
+                      return handle(node, std::move(incoming));
+                  })
+    {}
+
+    auto fleet() -> mesh_fleet & { return m_fleet; }
+
+    //! Submits the configuration and waits until each node with an upstream serves a request.
+    auto waitUntilServed() -> bool
+    {
+        const auto end = base::clock::now() + START_LIMIT;
+        bool isAccepted = false;
+        for (int edge = 0; base::clock::now() < end;) {
+            if (!isAccepted) {
+                const auto answer = http_client(m_fleet.controlAddress(0))
+                                            .send("PUT", std::string(messages::CONFIGURATION_PATH),
+                                                  messages::changeHeaders(0),
+                                                  messages::configuration(1, NARROW_RATE));
+                isAccepted = answer && answer->status == 200;
+            } else if (const auto answer = sendTo(edge, "GET", "/r/start");
+                       answer && answer->status == 200) {
+                ++edge;
+            }
+            if (edge == FLEET_SIZE.edges) {
+                return true;
+            }
+            std::this_thread::sleep_for(base::milliseconds(100));
+        }
+        return false;
+    }
+
+    //! Sends a request to a node with an upstream, counted from 0.
+    auto sendTo(int edge, const std::string &method, const std::string &target,
+                const std::string &body = {}) -> std::optional<http_answer>
+    {
+        const auto id = "id-" + std::to_string(++m_requestCount);
+        return http_client(m_fleet.callerAddress(FLEET_SIZE.cores + edge))
+                .send(method, target, messages::requestHeaders(id, "wide", DEADLINE_MS), body);
+    }
+
+    auto sendToAny(const std::string &method, const std::string &target,
+                   const std::string &body = {}) -> std::optional<http_answer>
+    {
+        return sendTo(static_cast<int>(m_random.below(FLEET_SIZE.edges)), method, target, body);
+    }
+
+    [[nodiscard]] auto endCount() const -> std::size_t
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_ends.size();
+    }
+
+    //! Number of upstreams that ended later than `LEARNING_TIME` after the third one.
+    [[nodiscard]] auto lateEndCount() const -> int
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_ends.size() < 3) {
+            return 0;
+        }
+        const auto limit = m_ends.at(2) + LEARNING_TIME;
+        return static_cast<int>(
+                std::count_if(m_ends.begin(), m_ends.end(),
+                              [limit](base::time_point end) { return end > limit; }));
+    }
+
+private:
+    auto handle(int node, webapi::request incoming) -> boost::asio::awaitable<webapi::response>
+    {
+        static const auto names = platform::wireNames();
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, WORK_TIME);
+        co_await timer.async_wait(boost::asio::use_awaitable);
+        if (incoming.path.ends_with(CRASHING_PATH_END)) {
+            const std::lock_guard lock(m_mutex);
+            m_ends.push_back(base::clock::now());
+            m_fleet.crashUpstream(node, RESTART_TIME);
+        }
+        webapi::response answer{200, "text/plain", "done"};
+        answer.headers[names.requestId] = incoming.headers["attempt-id"];
+        co_return answer;
+    }
+
+    mutable std::mutex m_mutex;
+    std::vector<base::time_point> m_ends;
+    int m_requestCount = 0;
+    base::random_source m_random{1};
+    mesh_fleet m_fleet;
+};
+
+struct repeat_counts
+{
+    int othersServed = 0;
+    int othersSent = 0;
+    //! Repeats that were refused as not run because of the upstreams that they ended.
+    int refused = 0;
+};
+
+//! Sends the same request again and again to random nodes, and others beside it.
+auto repeatCrashingRequest(crashing_fleet &fleet, const std::string &method,
+                           const std::string &target, const std::string &body, int count,
+                           base::milliseconds pause) -> repeat_counts
+{
+    repeat_counts counts;
+    for (int i = 0; i < count; ++i) {
+        const auto answer = fleet.sendToAny(method, target, body);
+        CHECK(answer.has_value());
+        if (answer && answer->reason == "crash_suspected") {
+            CHECK_EQUAL(503, answer->status);
+            STRCMP_EQUAL("not_run", answer->outcome.c_str());
+            ++counts.refused;
+        }
+        for (const auto end = base::clock::now() + pause; base::clock::now() < end;) {
+            const auto other = fleet.sendToAny("GET", "/r/" + std::to_string(i % 5));
+            ++counts.othersSent;
+            counts.othersServed += other && other->status == 200 ? 1 : 0;
+            std::this_thread::sleep_for(base::milliseconds(20));
+        }
+    }
+    std::cout << "ended: " << fleet.endCount() << ", late: " << fleet.lateEndCount()
+              << ", repeats refused: " << counts.refused
+              << ", others served: " << counts.othersServed << " of " << counts.othersSent << "\n";
+    return counts;
+}
+
+} // namespace
+
+TEST_GROUP(mesh){};
+
+// Guards against a request that ends one upstream after the other as often as its caller repeats
+// it.
+TEST(mesh, requestThatEndsUpstreamsIsRefusedByAllNodes)
+{
+    crashing_fleet fleet;
+    CHECK(fleet.waitUntilServed());
+    const auto counts =
+            repeatCrashingRequest(fleet, "GET", "/r/crash", {}, 30, base::milliseconds(400));
+    CHECK(fleet.endCount() >= 3);
+    CHECK(fleet.lateEndCount() <= MAX_LATE_ENDS);
+    CHECK(counts.refused > 0);
+    CHECK(counts.othersServed >= counts.othersSent * 95 / 100);
+}
+
+// Guards against the same with a request that may not be repeated, whose body is part of its
+// identity.
+TEST(mesh, writeThatEndsUpstreamsIsRefusedByAllNodes)
+{
+    crashing_fleet fleet;
+    CHECK(fleet.waitUntilServed());
+    const auto counts = repeatCrashingRequest(fleet, "POST", "/w/crash", "order 7", 30,
+                                              base::milliseconds(400));
+    CHECK(fleet.endCount() >= 3);
+    CHECK(fleet.lateEndCount() <= MAX_LATE_ENDS);
+    CHECK(counts.refused > 0);
+    CHECK(counts.othersServed >= counts.othersSent * 95 / 100);
+}
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,14 +2,19 @@
 // the fleet promises. Exits with 1 if a promise is broken; the same seed gives the same faults.
 
 #include "base/random.h"
+#include "platform/internal/wirenames.h"
 #include "platform/tests/messages.h"
 #include "tests/process/httpclient.h"
-#include "tests/soak/meshfleet.h"
+#include "tests/soak/promises.h"
+#include "tests/support/meshfleet.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <algorithm>
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <iostream>
 #include <unistd.h>
@@ -24,6 +29,7 @@
 using namespace hawthornpick;
 using namespace hawthornpick::soak;
 using processtest::http_client;
+using testsupport::mesh_fleet;
 
 namespace {
 
@@ -35,6 +41,8 @@
 constexpr std::chrono::seconds RECOVERY_TIME{15};
 constexpr std::chrono::seconds START_LIMIT{30};
 constexpr base::milliseconds POLL_INTERVAL{100};
+//! Time that an upstream works on a request.
+constexpr base::milliseconds WORK_TIME{30};
 
 auto pause(base::milliseconds span) -> void
 {
@@ -316,6 +324,29 @@
     std::vector<fault> m_faults;
 };
 
+auto lowerCase(std::string text) -> std::string
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char item) { return static_cast<char>(std::tolower(item)); });
+    return text;
+}
+
+//! Records what an upstream was given, and answers it.
+auto answer(promises &record, webapi::request incoming) -> boost::asio::awaitable<webapi::response>
+{
+    static const auto names = platform::wireNames();
+    static const auto idHeader = lowerCase(names.requestId);
+    static const auto organisationHeader = lowerCase(names.organisation);
+    const auto id = incoming.headers[idHeader];
+    record.onExecuted(id, incoming.headers[organisationHeader], !incoming.bearerToken.empty(),
+                      base::clock::now());
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, WORK_TIME);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+    webapi::response response{200, "text/plain", promises::answerTo(id)};
+    response.headers[names.requestId] = id;
+    co_return response;
+}
+
 auto waitUntilServed(const mesh_fleet &fleet, caller &probe, base::duration limit) -> bool
 {
     const auto end = base::clock::now() + limit;
@@ -339,7 +370,10 @@
     const auto folder = std::filesystem::temp_directory_path()
                         / ("hawthornpick-soak-" + std::to_string(getpid()));
     mesh_fleet fleet(absl::GetFlag(FLAGS_binary), folder,
-                     {absl::GetFlag(FLAGS_cores), absl::GetFlag(FLAGS_edges)}, record);
+                     {absl::GetFlag(FLAGS_cores), absl::GetFlag(FLAGS_edges)},
+                     [&record](int /*node*/, webapi::request incoming) {
+                         return answer(record, std::move(incoming));
+                     });
     configuration_operator changes(fleet, record, seed + 1);
     caller probe(fleet, record, 0, seed + 2);
     if (!changes.changeOnce(300) || !waitUntilServed(fleet, probe, START_LIMIT)) {
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -25,6 +25,8 @@
         posix_spawn_file_actions_addopen(&actions, stream, log.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, 0644);
     }
+    // Inherited listening sockets would keep the ports of stand-ins open after their end.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int failure =
             posix_spawn(&m_id, binary.c_str(), &actions, nullptr, pointers.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- a/tests/soak/meshfleet.cpp
+++ b/tests/support/meshfleet.cpp
@@ -1,6 +1,5 @@
-#include "tests/soak/meshfleet.h"
+#include "tests/support/meshfleet.h"
 
-#include "platform/internal/wirenames.h"
 #include "platform/tests/messages.h"
 #include "webapi/client.h"
 
@@ -8,13 +7,12 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <fstream>
 #include <future>
 #include <unistd.h>
 
-namespace hawthornpick::soak {
+namespace hawthornpick::testsupport {
 
 namespace {
 
@@ -25,24 +23,17 @@
 constexpr std::uint16_t CONTROL_PORT = 7702;
 constexpr std::uint16_t CALLER_PORT = 7703;
 constexpr std::uint16_t UPSTREAM_PORT = 7704;
-constexpr std::chrono::milliseconds WORK_TIME{30};
 constexpr std::chrono::milliseconds HEARTBEAT_INTERVAL{500};
 constexpr int FIRST_HOST = 10;
 
-auto lowerCase(std::string text) -> std::string
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char item) { return static_cast<char>(std::tolower(item)); });
-    return text;
-}
-
 } // namespace
 
 mesh_fleet::mesh_fleet(std::string binary, std::filesystem::path folder, fleet_size size,
-                       promises &record)
-    : m_binary(std::move(binary)), m_folder(std::move(folder)), m_size(size), m_promises(record),
-      m_network("127." + std::to_string(20 + getpid() % 80) + "."
-                + std::to_string(getpid() / 80 % 200)),
+                       upstream_handler handler)
+    : m_binary(std::move(binary)), m_folder(std::move(folder)), m_size(size),
+      m_handler(std::move(handler)), m_network("127." + std::to_string(20 + getpid() % 80) + "."
+                                               + std::to_string(getpid() / 80 % 200)),
+      m_upstreams(static_cast<std::size_t>(size.edges)),
       m_processes(static_cast<std::size_t>(size.cores + size.edges)),
       m_hasStarted(m_processes.size(), false)
 {
@@ -173,38 +164,41 @@
 
 auto mesh_fleet::startUpstream(int node) -> void
 {
-    m_upstreams.push_back(std::make_unique<webapi::server>(
+    auto &upstream = m_upstreams.at(static_cast<std::size_t>(node - m_size.cores));
+    upstream.server = std::make_unique<webapi::server>(
             m_upstreamContext, membership::endpoint{ip(node), UPSTREAM_PORT},
-            webapi::server_limits{},
-            [this](webapi::request incoming) { return handle(std::move(incoming)); }));
+            webapi::server_limits{}, [this, node](webapi::request incoming) {
+                return m_handler(node, std::move(incoming));
+            });
+    upstream.startTime = base::wallClockMilliseconds();
 }
 
-auto mesh_fleet::handle(webapi::request incoming) -> boost::asio::awaitable<webapi::response>
+auto mesh_fleet::crashUpstream(int node, base::milliseconds downTime) -> void
 {
-    static const auto names = platform::wireNames();
-    static const auto idHeader = lowerCase(names.requestId);
-    static const auto organisationHeader = lowerCase(names.organisation);
-    const auto id = incoming.headers[idHeader];
-    m_promises.onExecuted(id, incoming.headers[organisationHeader], !incoming.bearerToken.empty(),
-                          base::clock::now());
-    boost::asio::steady_timer timer(m_upstreamContext, WORK_TIME);
-    co_await timer.async_wait(boost::asio::use_awaitable);
-    webapi::response answer{200, "text/plain", promises::answerTo(id)};
-    answer.headers[names.requestId] = id;
-    co_return answer;
+    auto &upstream = m_upstreams.at(static_cast<std::size_t>(node - m_size.cores));
+    if (upstream.startTime.exchange(0) == 0) {
+        return;
+    }
+    upstream.server.reset();
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_upstreamContext, downTime);
+    timer->async_wait([this, node, timer](const auto & /*failure*/) { startUpstream(node); });
 }
 
 auto mesh_fleet::registerUpstreams() -> void
 {
     static std::uint64_t number = 0;
-    static const auto startedAt = base::wallClockMilliseconds();
     ++number;
     for (int node = m_size.cores; node < size(); ++node) {
-        const auto body = messages::heartbeat("work", {ip(node), UPSTREAM_PORT}, startedAt, number);
-        (void)webapi::call(controlAddress(node),
-                           {"PUT", "/instances/" + nameOf(node), {}, {}, body},
+        const auto startTime =
+                m_upstreams.at(static_cast<std::size_t>(node - m_size.cores)).startTime.load();
+        if (startTime == 0) {
+            continue;
+        }
+        const auto body = messages::heartbeat("work", {ip(node), UPSTREAM_PORT}, startTime, number);
+        const auto name = nameOf(node) + "-" + std::to_string(startTime);
+        (void)webapi::call(controlAddress(node), {"PUT", "/instances/" + name, {}, {}, body},
                            base::milliseconds(200));
     }
 }
 
-} // namespace hawthornpick::soak
+} // namespace hawthornpick::testsupport
--- a/tests/soak/meshfleet.h
+++ b/tests/support/meshfleet.h
@@ -1,19 +1,21 @@
 #pragma once
 
+#include "base/time.h"
 #include "tests/faultproxy/proxy.h"
-#include "tests/soak/promises.h"
 #include "tests/support/childprocess.h"
 #include "webapi/server.h"
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
-namespace hawthornpick::soak {
+namespace hawthornpick::testsupport {
 
 //! Size of a fleet, divided between two regions.
 struct fleet_size
@@ -28,7 +30,12 @@
 class mesh_fleet
 {
 public:
-    mesh_fleet(std::string binary, std::filesystem::path folder, fleet_size size, promises &record);
+    //! Handles a request at the upstream beside a node, on the thread of the upstreams.
+    using upstream_handler = std::function<boost::asio::awaitable<webapi::response>(
+            int node, webapi::request incoming)>;
+
+    mesh_fleet(std::string binary, std::filesystem::path folder, fleet_size size,
+               upstream_handler handler);
     ~mesh_fleet();
     mesh_fleet(const mesh_fleet &) = delete;
     auto operator=(const mesh_fleet &) -> mesh_fleet & = delete;
@@ -44,31 +51,42 @@
     //! Kills a process and waits for its end.
     auto kill(int node) -> void;
 
+    //! Ends the upstream beside a node: its connections are closed and its port refuses new ones
+    //! for `downTime`; then a new incarnation with another name starts.
+    //! Thread safety: the thread of the upstreams.
+    auto crashUpstream(int node, base::milliseconds downTime) -> void;
+
     //! Replaces the faults of the relay.
     auto setFaults(std::vector<faultproxy::rule> rules) -> void;
     //! Cuts the traffic from one node to another.
     [[nodiscard]] auto cut(int from, int to) const -> std::vector<faultproxy::rule>;
 
 private:
+    struct stand_in_upstream
+    {
+        std::unique_ptr<webapi::server> server;
+        //! Time of the start, which also names the incarnation; 0 while the upstream is down.
+        std::atomic<std::uint64_t> startTime{0};
+    };
+
     [[nodiscard]] auto ip(int node) const -> std::string;
     [[nodiscard]] auto nameOf(int node) const -> std::string;
     auto writeSettings(int node) -> void;
     auto startUpstream(int node) -> void;
-    auto handle(webapi::request incoming) -> boost::asio::awaitable<webapi::response>;
     auto registerUpstreams() -> void;
 
     std::string m_binary;
     std::filesystem::path m_folder;
     fleet_size m_size;
-    promises &m_promises;
+    upstream_handler m_handler;
     std::string m_network;
     boost::asio::io_context m_context{1};
     boost::asio::io_context m_upstreamContext{1};
     std::unique_ptr<faultproxy::proxy> m_proxy;
-    std::vector<std::unique_ptr<webapi::server>> m_upstreams;
-    std::vector<std::optional<testsupport::child_process>> m_processes;
+    std::vector<stand_in_upstream> m_upstreams;
+    std::vector<std::optional<child_process>> m_processes;
     std::vector<bool> m_hasStarted;
     std::vector<std::jthread> m_threads;
 };
 
-} // namespace hawthornpick::soak
+} // namespace hawthornpick::testsupport
