app: log the requests that are lost when an upstream crashes

Cause: a mesh node logged single lost attempts, which didn't tell an upstream that had ended from one that reset a connection, nor whether repeats of a request share an identity.

Change: crash_control uses the crash probe of serve and logs the request ids and fingerprints of a crash, and counts crashes.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -1,5 +1,6 @@
 #include "app/meshnode.h"
 
+#include "app/internal/crashcontrol.h"
 #include "app/internal/decisionlog.h"
 #include "app/internal/meshcontrol.h"
 #include "app/internal/peeracceptor.h"
@@ -103,6 +104,7 @@
           m_serviceSplit(base::systemSeed()),
           m_repeatBudget({settings.repeatShare * REPEAT_SHARE_RATIO, 0.0, settings.repeatWindow}),
           m_rateLimiter({}, base::systemSeed(), base::clock::now()),
+          m_crashControl(context, m_metrics, upstreamAddresses()),
           m_control(context, settings, m_adapter, m_identity, m_metrics, controlCallbacks()),
           m_upstreams({&context}, {}, upstreamDependencies()),
           m_linkPool(
@@ -201,6 +203,14 @@
         return callbacks;
     }
 
+    auto upstreamAddresses() -> crash_probe::address_function
+    {
+        return [this](const base::upstream_id &id) -> std::optional<membership::endpoint> {
+            const auto record = m_upstreams.registry().table().load()->find(id);
+            return record ? std::optional(record->address) : std::nullopt;
+        };
+    }
+
     auto limitOf(const base::organisation_id &id) const -> limits::rate_limit
     {
         const auto *organisation = m_configuration.load()->organisationById(id);
@@ -246,6 +256,7 @@
         hooks.onFinish = [this](const upstream::attempt_observation &observation,
                                 const upstream::attempt_finish &finish) {
             m_upstreamHealth.onFinish(observation, finish);
+            m_crashControl.onFinish(observation, finish);
             logAttemptEnd(observation, finish);
         };
         hooks.expectedTime = [this](const upstream::attempt_request &request) {
@@ -580,6 +591,7 @@
     limits::fleet_rate_limiter m_rateLimiter;
     std::size_t m_entryNodeCount = 1;
     decision_log m_log;
+    crash_control m_crashControl;
     mesh_control m_control;
     upstream::upstream_service m_upstreams;
     peer::link_pool m_linkPool;
