policy, fleet: refuse requests that crash upstreams in the mesh too

What callers saw: nothing of it; a request whose caller repeated it ended one upstream after the other (mesh_test: 44 with 30 repeats, 30 of them over 3 s after the third; three are allowed), and other requests were lost with them.

Cause: the tracker of such requests was wired into serve only. A mesh node had no check before the start and no verdict at selection. Class: a protection of one mode that the other lacks.

Ruled out: an unstable identity (44 crashes, one fingerprint) and the fleet's own repeats (two upstreams for each client attempt, none after it).

Change: crash_tracker keeps for each request a pair (generation, crashes), of which the greater one is newer, instead of lists of reports. A crash counts if its attempt started after the one before was known. crash_control wires it into the mesh; evidence travels in the directory record, so that it costs one change of a record and reaches nodes that missed it or restarted. serve keeps its owner, its two crashes and its messages, and logs the changes too.

--- a/src/app/internal/healthcontrol.cpp
+++ b/src/app/internal/healthcontrol.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/healthcontrol.h"
 
+#include "app/internal/crashcontrol.h"
 #include "base/log.h"
 #include "base/random.h"
 
@@ -39,22 +40,6 @@
     return policy::attempt_outcome::Cancelled;
 }
 
-auto fingerprintOf(const base::organisation_id &organisation, const base::route_id &route,
-                   const base::digest256 &digest) -> policy::crash_fingerprint
-{
-    return policy::crashFingerprint(organisation, route, base::toBytes(digest));
-}
-
-auto fingerprintOf(const upstream::attempt_observation &observation) -> policy::crash_fingerprint
-{
-    return fingerprintOf(observation.organisation, observation.route, observation.fingerprint);
-}
-
-auto fingerprintOf(const upstream::attempt_request &request) -> policy::crash_fingerprint
-{
-    return fingerprintOf(request.organisation, request.route, request.fingerprint);
-}
-
 auto nodesWithUpstreamsOf(const membership::view &view, const base::service_id &service)
         -> std::vector<base::node_id>
 {
@@ -81,7 +66,7 @@
                                                const config::service &service)
     : detector(policy::detectorParametersOf(dependencies.profile), service.id, dependencies.node,
                base::systemSeed()),
-      crashes(service.id, dependencies.node, dependencies.incarnation, service.timeout)
+      crashes(service.id, dependencies.node, service.timeout)
 {}
 
 health_control::health_control(boost::asio::io_context &context,
@@ -118,13 +103,14 @@
     hooks.start = [this, next = std::move(hooks.start)](
                           const upstream::attempt_request &request) -> base::result<void> {
         const auto health = findService(request.service);
-        const auto fingerprint = fingerprintOf(request);
-        if (health && !health->crashes.tryStart(fingerprint, base::clock::now())) {
+        if (health
+            && !health->crashes.tryStart({request.attempt, crashFingerprintOf(request)},
+                                         base::clock::now())) {
             return base::fail(base::error_kind::CrashSuspected);
         }
         auto result = next(request);
         if (health && !result) {
-            health->crashes.onAttemptEnd(fingerprint, false, base::clock::now());
+            health->crashes.onAttemptEnd(request.attempt, false, base::clock::now());
         }
         return result;
     };
@@ -211,7 +197,7 @@
 {
     if (const auto health = findService(observation.service)) {
         health->detector.onAttemptStart({observation.upstream, observation.attempt,
-                                         observation.organisation, fingerprintOf(observation)},
+                                         observation.organisation, crashFingerprintOf(observation)},
                                         base::clock::now());
     }
 }
@@ -233,7 +219,7 @@
     const bool succeeded = outcome == policy::attempt_outcome::Succeeded;
     if (const auto health = findService(observation.service)) {
         health->detector.onAttemptEnd(observation.upstream, observation.attempt, outcome, now);
-        health->crashes.onAttemptEnd(fingerprintOf(observation), succeeded, now);
+        health->crashes.onAttemptEnd(observation.attempt, succeeded, now);
     }
     if (outcome != policy::attempt_outcome::Cancelled) {
         m_ejectionClient.onResult(observation.upstream, succeeded, now);
@@ -248,13 +234,13 @@
     }
     if (hasCrashed) {
         m_crashCounter.Increment();
-        std::vector<policy::crash_fingerprint> runningRequests;
-        runningRequests.reserve(lostAttempts.size());
+        std::vector<policy::crash_attempt> runningAttempts;
+        runningAttempts.reserve(lostAttempts.size());
         for (const auto &attempt : lostAttempts) {
-            runningRequests.push_back(fingerprintOf(attempt));
+            runningAttempts.push_back({attempt.attempt, crashFingerprintOf(attempt)});
         }
         if (const auto health = findService(lostAttempts.front().service)) {
-            health->crashes.onUpstreamCrash(runningRequests, base::clock::now());
+            health->crashes.onUpstreamCrash(runningAttempts, base::clock::now());
         }
         base::log(base::log_level::Warning, "upstream crashed",
                   {{"upstream", lostAttempts.front().upstream.str()},
@@ -299,6 +285,7 @@
     for (const auto &[id, health] : *m_services.load()) {
         appendMessages(outgoing, health->detector.tick(now));
         appendMessages(outgoing, health->crashes.tick(now));
+        logCrashChanges(health->crashes.takeChanges());
     }
     return outgoing;
 }
--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -90,6 +90,7 @@
     callbacks.currentUsages = m_callbacks.currentUsages;
     callbacks.onTotalsNearLimit = m_callbacks.onTotalsNearLimit;
     callbacks.changedUsages = m_callbacks.changedUsages;
+    callbacks.onCrashRecords = m_callbacks.onCrashRecords;
     callbacks.onDocument = [this](const fleet::config_document &document) {
         applyDocument(document);
     };
@@ -245,6 +246,14 @@
     m_runtime.send(m_reporter.tick(base::clock::now()));
 }
 
+auto mesh_control::setCrashRecords(std::vector<base::crash_record> records) -> void
+{
+    if (m_reporter.self().crashRecords != records) {
+        m_reporter.setCrashRecords(std::move(records));
+        m_runtime.send(m_reporter.tick(base::clock::now()));
+    }
+}
+
 auto mesh_control::setSeeds(const std::vector<std::string> &seeds) -> void
 {
     m_reporter.setContacts(seedNodes(seeds));
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -31,6 +31,8 @@
     std::function<base::usage_map()> currentUsages;
     //! Returns the usage that changed since the last call of this function or of `currentUsages`.
     std::function<base::usage_map()> changedUsages;
+    //! Receives the evidence of requests that crash upstreams from another node.
+    std::function<void(const std::vector<base::crash_record> &records)> onCrashRecords;
     //! Returns true if the usage of an organisation is near its limit or exceeds it.
     fleet::hub::near_limit_function isNearLimit;
 };
@@ -50,6 +52,9 @@
 
     //! Publishes the upstreams that are registered at this host.
     auto setUpstreams(std::vector<membership::upstream_entry> upstreams) -> void;
+    //! Publishes the evidence of requests that crash the upstreams of this host. No effect if it is
+    //! unchanged.
+    auto setCrashRecords(std::vector<base::crash_record> records) -> void;
     //! Replaces the seed nodes, given by their IP addresses.
     auto setSeeds(const std::vector<std::string> &seeds) -> void;
 
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -104,7 +104,10 @@
           m_serviceSplit(base::systemSeed()),
           m_repeatBudget({settings.repeatShare * REPEAT_SHARE_RATIO, 0.0, settings.repeatWindow}),
           m_rateLimiter({}, base::systemSeed(), base::clock::now()),
-          m_crashControl(context, m_metrics, upstreamAddresses()),
+          m_crashControl(context, m_identity.node, m_metrics, upstreamAddresses(),
+                         [this](std::vector<base::crash_record> records) {
+                             m_control.setCrashRecords(std::move(records));
+                         }),
           m_control(context, settings, m_adapter, m_identity, m_metrics, controlCallbacks()),
           m_upstreams({&context}, {}, upstreamDependencies()),
           m_linkPool(
@@ -196,6 +199,9 @@
         callbacks.currentUsages = [this] {
             return m_rateLimiter.report(base::clock::now());
         };
+        callbacks.onCrashRecords = [this](const std::vector<base::crash_record> &records) {
+            m_crashControl.merge(records);
+        };
         callbacks.isNearLimit = [this](const base::organisation_id &organisation,
                                        const base::rate_usage &usage) {
             return limits::fleet_rate_limiter::isNearLimit(limitOf(organisation), usage);
@@ -247,6 +253,9 @@
     auto executorHooks() -> upstream::executor_hooks
     {
         upstream::executor_hooks hooks;
+        hooks.start = [this](const upstream::attempt_request &request) {
+            return m_crashControl.start(request);
+        };
         hooks.onStart = [this](const upstream::attempt_observation &observation) {
             m_upstreamHealth.onStart(observation);
             if (observation.idempotent) {
@@ -333,8 +342,11 @@
             return hedgeDelay(request);
         };
         hooks.retryAfter = [this](const base::error &refusal,
-                                  const caller::selection_request & /*request*/) {
-            return retryAfter(refusal.kind);
+                                  const caller::selection_request &request) {
+            const auto refusalTime = refusal.kind == base::error_kind::CrashSuspected
+                                             ? m_crashControl.retryAfter(request)
+                                             : base::milliseconds(0);
+            return std::max(refusalTime, retryAfter(refusal.kind));
         };
         hooks.onRequestEnd = [this](const caller::request_report &report) {
             onRequestEnd(report);
@@ -373,6 +385,9 @@
 
     auto select(const caller::selection_request &request) -> base::result<caller::chosen_node>
     {
+        if (const auto allowed = m_crashControl.checkSelection(request); !allowed) {
+            return tl::unexpected(allowed.error());
+        }
         updateOwnLoad(request.service.id);
         const auto placed =
                 m_placement.choose(request.view, placementRequest(request), base::clock::now());
@@ -394,6 +409,9 @@
 
     auto chooseTrial(const caller::selection_request &request) -> std::optional<caller::chosen_node>
     {
+        if (!m_crashControl.checkSelection(request)) {
+            return std::nullopt;
+        }
         const auto now = base::clock::now();
         const auto *node = m_placement.chooseTrial(request.view, placementRequest(request),
                                                    m_entryNodeCount, now);
@@ -545,6 +563,7 @@
     {
         const auto now = base::clock::now();
         m_upstreams.registry().expire(now);
+        m_crashControl.tick(now);
         for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
             queue->expire(now);
         }
--- a/src/app/internal/nodehooks.cpp
+++ b/src/app/internal/nodehooks.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/nodehooks.h"
 
+#include "app/internal/crashcontrol.h"
 #include "base/awaitcallback.h"
 
 #include <algorithm>
@@ -125,8 +126,7 @@
 {
     return [&health, next = std::move(next)](
                    const caller::selection_request &request) -> base::result<caller::chosen_node> {
-        const auto fingerprint = policy::crashFingerprint(request.organisation, request.route,
-                                                          base::toBytes(request.fingerprint));
+        const auto fingerprint = crashFingerprintOf(request);
         switch (health.crashVerdict(request.service.id, fingerprint)) {
         case policy::crash_verdict::Run:
             return next(request);
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -30,6 +30,8 @@
     base::digest256 fingerprint;
     //! True if another attempt of the request is in flight.
     bool hasAttemptInFlight = false;
+    //! True if an earlier attempt of the request may have run.
+    bool mayHaveRun = false;
     //! Number of attempts sent so far, refused ones included.
     unsigned attemptCount = 0;
     std::string requestId;
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -88,6 +88,7 @@
             m_request.route,
             m_request.fingerprint,
             m_attempts.runningCount() > 0,
+            m_mayHaveRun,
             m_totalAttempts,
             m_request.requestId,
             m_arrival,
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -8,6 +8,14 @@
   5: i64 incarnation
 }
 
+// Evidence that a request crashes upstreams. The record with the higher (generation, crashes) is
+// newer.
+struct crash_record {
+  1: i64 fingerprint
+  2: i32 generation
+  3: i32 crashes
+}
+
 // A node as it describes itself. The record with the higher (generation, sequence) is newer.
 struct node_record {
   1: string node
@@ -20,6 +28,8 @@
   8: bool hub
   9: list<upstream> upstreams
   10: string reports_to
+  // Evidence from the upstreams of the node; left out if there is none.
+  11: optional list<crash_record> crash_records
 }
 
 // Usage of an organisation's limit: demand in units of 1/256 request per second, and the number of
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -39,6 +39,30 @@
     return out;
 }
 
+auto toWire(const base::crash_record &item) -> wire::crash_record
+{
+    wire::crash_record out;
+    out.fingerprint = static_cast<std::int64_t>(item.fingerprint);
+    out.generation = static_cast<std::int32_t>(item.evidence.generation);
+    out.crashes = static_cast<std::int32_t>(item.evidence.crashes);
+    return out;
+}
+
+// Leaves out records with values that no node sends.
+auto fromWire(const std::vector<wire::crash_record> &items) -> std::vector<base::crash_record>
+{
+    std::vector<base::crash_record> out;
+    for (const auto &item : items) {
+        if (out.size() < node_record::MAX_CRASH_RECORDS && item.generation >= 0
+            && item.crashes >= 0) {
+            out.push_back({static_cast<std::uint64_t>(item.fingerprint),
+                           {static_cast<std::uint32_t>(item.generation),
+                            static_cast<std::uint32_t>(item.crashes)}});
+        }
+    }
+    return out;
+}
+
 auto toWire(const node_record &item) -> wire::node_record
 {
     wire::node_record out;
@@ -54,6 +78,10 @@
     for (const auto &upstream : item.entry.upstreams) {
         out.upstreams.push_back(toWire(upstream));
     }
+    for (const auto &record : item.crashRecords) {
+        out.crash_records.push_back(toWire(record));
+        out.__isset.crash_records = true;
+    }
     return out;
 }
 
@@ -74,6 +102,7 @@
     out.sequence = static_cast<std::uint64_t>(item.sequence);
     out.isHub = item.hub;
     out.reportsTo = base::node_id(item.reports_to);
+    out.crashRecords = fromWire(item.crash_records);
     return out;
 }
 
--- a/src/fleet/internal/recordtable.cpp
+++ b/src/fleet/internal/recordtable.cpp
@@ -7,7 +7,7 @@
 auto hasSameContent(const node_record &left, const node_record &right) -> bool
 {
     return left.entry == right.entry && left.generation == right.generation
-           && left.isHub == right.isHub;
+           && left.isHub == right.isHub && left.crashRecords == right.crashRecords;
 }
 
 } // namespace
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -80,6 +80,15 @@
     onSelfChanged();
 }
 
+auto reporter::setCrashRecords(std::vector<base::crash_record> records) -> void
+{
+    if (m_self.crashRecords == records) {
+        return;
+    }
+    m_self.crashRecords = std::move(records);
+    onSelfChanged();
+}
+
 auto reporter::setState(membership::node_state state) -> void
 {
     m_self.entry.state = state;
@@ -176,8 +185,12 @@
     m_cursors[m_hub] = answer.cursor;
     bool hasChanged = false;
     for (const auto &record : answer.records) {
-        if (record.entry.id != m_self.entry.id) {
-            hasChanged = m_records.merge(record) || hasChanged;
+        if (record.entry.id == m_self.entry.id || !m_records.merge(record)) {
+            continue;
+        }
+        hasChanged = true;
+        if (!record.crashRecords.empty()) {
+            m_callbacks.onCrashRecords(record.crashRecords);
         }
     }
     supersede(answer.knownGeneration);
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/crashrecord.h"
 #include "base/message.h"
 #include "base/usage.h"
 #include "membership/view.h"
@@ -27,6 +28,11 @@
     bool isHub = false;
     //! The hub or deputy to which the node reports; empty before the first report.
     base::node_id reportsTo;
+    //! Evidence of crashes from the upstreams of the node; at most `MAX_CRASH_RECORDS`.
+    std::vector<base::crash_record> crashRecords = {};
+
+    //! Longer lists of other nodes are cut.
+    static constexpr std::size_t MAX_CRASH_RECORDS = 32;
 
     auto operator<=>(const node_record &) const = default;
 
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -26,6 +26,8 @@
     std::function<void(const base::usage_map &totals, double coverage)> onTotalsNearLimit;
     //! Returns the usage that changed since the last call of this function or of `currentUsages`.
     std::function<base::usage_map()> changedUsages;
+    //! Called with the evidence of crashes in a changed record of another node.
+    std::function<void(const std::vector<base::crash_record> &records)> onCrashRecords;
     //! Called when the hub in use changes; the id is empty if no candidate is known.
     std::function<void(const base::node_id &hub)> onHubChanged;
 };
@@ -75,6 +77,7 @@
     //! Changes the node's own record. The next call of `tick` reports it.
     auto setUpstreams(std::vector<membership::upstream_entry> upstreams) -> void;
     auto setState(membership::node_state state) -> void;
+    auto setCrashRecords(std::vector<base::crash_record> records) -> void;
 
     //! Raises the generation of the node's own record above that of `record`, which a former
     //! process of the node sent before the host's clock was set back. No effect if `record` is
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -68,6 +68,8 @@
     base::usage_map usage;
     base::usage_map changedUsage;
     base::node_id currentHub;
+    //! Newest evidence of crashes that the node has received.
+    std::map<std::uint64_t, base::crash_evidence> crashes;
     bool isFresh = true;
 };
 
@@ -116,6 +118,12 @@
         callbacks.changedUsages = [&node] {
             return std::exchange(node.changedUsage, {});
         };
+        callbacks.onCrashRecords = [&node](const std::vector<base::crash_record> &records) {
+            for (const auto &record : records) {
+                auto &known = node.crashes[record.fingerprint];
+                known = std::max(known, record.evidence);
+            }
+        };
         callbacks.onHubChanged = [&node](const base::node_id &hub) {
             node.currentHub = hub;
         };
@@ -641,6 +649,42 @@
     }
 }
 
+// Guards against evidence of crashing requests that is lost with a message, a hub or a restart: all
+// entry nodes have it within three seconds, also while deputies replace the hubs, and a restarted
+// node gets it again.
+TEST(directory, crashRecordsReachAllEntryNodes)
+{
+    directory_fleet fleet(24, 8);
+    const auto countInformed = [&fleet](std::uint64_t fingerprint) {
+        int count = 0;
+        for (int i = 8; i < 24; ++i) {
+            count += fleet.node(i).crashes[fingerprint].crashes == 2 ? 1 : 0;
+        }
+        return count;
+    };
+    fleet.run(milliseconds(6000));
+    fleet.network().setFaults({0.1, 0.1});
+    fleet.network().crash(fleet.node(12).currentHub);
+    fleet.node(12).reporter->setCrashRecords({{77, {0, 2}}});
+    fleet.run(milliseconds(3000));
+    CHECK_EQUAL(15, countInformed(77));
+    for (int i = 0; i < 8; ++i) {
+        fleet.network().crash(nodeIdOf(i));
+    }
+    fleet.run(milliseconds(5000));
+    fleet.node(13).reporter->setCrashRecords({{78, {0, 2}}});
+    fleet.run(milliseconds(3000));
+    CHECK_EQUAL(15, countInformed(78));
+    for (int i = 0; i < 8; ++i) {
+        fleet.startNode(i, true, 2);
+    }
+    fleet.node(20).crashes.clear();
+    fleet.startNode(20, false, 2);
+    fleet.run(milliseconds(5000));
+    CHECK_EQUAL(2, fleet.node(20).crashes[77].crashes);
+    CHECK_EQUAL(2, fleet.node(20).crashes[78].crashes);
+}
+
 // Guards against one odd record that ends the process, hides the other records of its message, or
 // is used: an id that is no endpoint, or a state or number of slots out of range.
 TEST(directory, ignoresOddRecordsOnly)
--- a/src/policy/idl/policywire.thrift
+++ b/src/policy/idl/policywire.thrift
@@ -45,11 +45,14 @@
   7: double badness
 }
 
+// Evidence about a request. The record with the higher (generation, crashes) is newer.
+struct crash_record {
+  1: i64 fingerprint
+  2: i32 generation
+  3: i32 crashes
+}
+
 struct crash_message {
   1: string service_name
-  2: string upstream
-  3: list<i64> fingerprints
-  4: i64 report
-  5: string cleared_node
-  6: i64 cleared_report
+  7: list<crash_record> records
 }
