upstream: carry each request id once on a connection

Here it needs a caller that repeats a request with its id, which the platform's callers don't do; the fleet itself asks no node twice after a refusal.

Cause: a late copy of an earlier refusal on a kept connection is told from the answer by the id only. A repeat with the same id on the same connection took the copy for its own answer and was reported as not run while the upstream ran it.

Change: a connection remembers the ids that it has carried and isn't used again for one of them; it is closed after 1,000 requests, which bounds the memory. The test node's counters lacked the last ending and threw inside the executor.

--- a/src/caller/tests/latecopytest.cpp
+++ b/src/caller/tests/latecopytest.cpp
@@ -3,6 +3,7 @@
 #include "caller/tests/testnode.h"
 
 #include <CppUTest/TestHarness.h>
+#include <atomic>
 #include <thread>
 
 using namespace hawthornpick;
@@ -124,3 +125,61 @@
         peer.send("HTTP/1.1 204 No Content\r\nX-Request-Id: other-request\r\n\r\n");
     });
 }
+
+namespace {
+
+//! Returns a refusal as not run of the request `id`.
+auto refusalOf(const std::string &id) -> std::string
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: " + id
+           + "\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull";
+}
+
+//! Sends a request that is not idempotent, with the id `id`, on a new caller connection.
+auto sendPayment(test_node &node, const std::string &id) -> std::string
+{
+    return exchange(node.port(), "POST /pay HTTP/1.1\r\nHost: x\r\nX-Api-Key: k-secret\r\n"
+                                 "Content-Length: 0\r\nConnection: close\r\nX-Request-Id: "
+                                         + id + "\r\n\r\n");
+}
+
+auto notRunWire() -> upstream::wire_profile
+{
+    upstream::wire_profile wire;
+    wire.echoesRequestId = true;
+    wire.notRun = "X-Not-Run";
+    return wire;
+}
+
+} // namespace
+
+// Guards against a refusal that is written once more on a kept connection and is taken for the
+// answer to a later request that runs: with another id, or with the id that the caller repeats.
+TEST(late_copy_test, copyOfARefusalIsNotTakenForALaterRequest)
+{
+    std::atomic<int> runs{0};
+    std::atomic<raw_client *> refusedPeer{nullptr};
+    scripted_upstream upstream([&](raw_client &peer, const std::string &head, int number) {
+        const auto id = requestIdOf(head);
+        if (number == 1) {
+            refusedPeer = &peer;
+            peer.send(refusalOf(id));
+            return true;
+        }
+        ++runs;
+        if (&peer == refusedPeer) {
+            peer.send(refusalOf("refused"));
+        }
+        peer.send(answerTo(id));
+        return true;
+    });
+    test_node node("n1", testConfiguration(), 100, nullptr, notRunWire());
+    node.announce("u1", upstream.port(), 1);
+    STRCMP_CONTAINS("HTTP/1.1 503 ", sendPayment(node, "refused").c_str());
+    for (const std::string id : {"refused", "other", "refused"}) {
+        const int runsBefore = runs;
+        const auto response = sendPayment(node, id);
+        CHECK_EQUAL(runsBefore + 1, runs.load());
+        STRCMP_CONTAINS("HTTP/1.1 200 ", response.c_str());
+    }
+}
--- a/src/caller/tests/testnode.h
+++ b/src/caller/tests/testnode.h
@@ -78,7 +78,8 @@
     atmostonce::attempt_registry m_attempts;
     std::atomic<bool> m_holdsLease{true};
     std::atomic<double> m_health{1.0};
-    std::array<std::atomic<int>, 8> m_endedAttempts{};
+    std::array<std::atomic<int>, static_cast<std::size_t>(upstream::attempt_ending::Refused) + 1>
+            m_endedAttempts{};
     boost::asio::io_context m_context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     boost::asio::ip::tcp::acceptor m_peerAcceptor;
--- a/src/upstream/internal/connectionpool.cpp
+++ b/src/upstream/internal/connectionpool.cpp
@@ -1,5 +1,8 @@
 #include "upstream/internal/connectionpool.h"
 
+#include "base/digest.h"
+
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <sys/socket.h>
@@ -20,8 +23,19 @@
 
 } // namespace
 
-auto connection_pool::acquireIdle(const upstream_record &target, base::milliseconds maxIdleTime)
-        -> connection_pointer
+auto upstream_connection::hasCarried(std::string_view requestId) const -> bool
+{
+    return std::find(requestIdHashes.begin(), requestIdHashes.end(), base::hash64(requestId))
+           != requestIdHashes.end();
+}
+
+auto upstream_connection::addRequest(std::string_view requestId) -> void
+{
+    requestIdHashes.push_back(base::hash64(requestId));
+}
+
+auto connection_pool::acquireIdle(const upstream_record &target, base::milliseconds maxIdleTime,
+                                  std::string_view requestId) -> connection_pointer
 {
     const auto position = m_idle.find(target.entry.id);
     if (position == m_idle.end()) {
@@ -29,9 +43,12 @@
     }
     auto &idle = position->second;
     const auto earliestIdleSince = base::clock::now() - maxIdleTime;
-    while (!idle.empty() && idle.back()->idleSince >= earliestIdleSince) {
-        auto connection = std::move(idle.back());
-        idle.pop_back();
+    for (auto i = idle.size(); i > 0 && idle[i - 1]->idleSince >= earliestIdleSince; --i) {
+        if (idle[i - 1]->hasCarried(requestId)) {
+            continue;
+        }
+        auto connection = std::move(idle[i - 1]);
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i - 1));
         if (connection->incarnation == target.entry.incarnation && isReusable(connection->socket)) {
             return connection;
         }
@@ -68,6 +85,9 @@
 
 auto connection_pool::release(connection_pointer connection) -> void
 {
+    if (connection->requestIdHashes.size() >= upstream_connection::MAX_REQUESTS) {
+        return;
+    }
     connection->timer.clear();
     connection->reused = true;
     connection->idleSince = base::clock::now();
--- a/src/upstream/internal/connectionpool.h
+++ b/src/upstream/internal/connectionpool.h
@@ -7,15 +7,22 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cstdint>
 #include <memory>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace hawthornpick::upstream {
 
-//! A connection to an upstream, closed on destruction unless it is released to the pool.
+//! A connection to an upstream, closed on destruction unless it is released to the pool. It carries
+//! each request id once: a late copy of an answer could otherwise be taken for the answer to a
+//! repeat with the same id.
 struct upstream_connection
 {
+    //! Bounds the ids that a connection keeps; it is not reused after this many requests.
+    static constexpr std::size_t MAX_REQUESTS = 1000;
+
     explicit upstream_connection(const boost::asio::any_io_executor &executor)
         : socket(executor), timer(executor)
     {}
@@ -28,6 +35,11 @@
     base::time_point idleSince;
     //! True if the connection has served a request before.
     bool reused = false;
+    //! Hashes of the ids of the requests that the connection has carried.
+    std::vector<std::uint64_t> requestIdHashes;
+
+    [[nodiscard]] auto hasCarried(std::string_view requestId) const -> bool;
+    auto addRequest(std::string_view requestId) -> void;
 
     auto close() -> void
     {
@@ -52,17 +64,17 @@
 
     explicit connection_pool(boost::asio::io_context &context) : m_context(context) {}
 
-    //! Removes the most recently used idle connection that is still open from the pool and returns
-    //! it, or null if there is none.
-    auto acquireIdle(const upstream_record &target, base::milliseconds maxIdleTime)
-            -> connection_pointer;
+    //! Removes the most recently used idle connection that is still open and has not carried the
+    //! request id from the pool and returns it, or null if there is none.
+    auto acquireIdle(const upstream_record &target, base::milliseconds maxIdleTime,
+                     std::string_view requestId) -> connection_pointer;
 
     //! Opens a connection. Errors: `UpstreamUnreachable`, also after `connectDeadline`; the reason
     //! of `cancel`.
     auto connect(const upstream_record &target, base::time_point connectDeadline,
                  cancellation &cancel) -> boost::asio::awaitable<base::result<connection_pointer>>;
 
-    //! Stores a connection for reuse.
+    //! Stores a connection for reuse, or closes it after `upstream_connection::MAX_REQUESTS`.
     //! Precondition: its last exchange is complete in both directions.
     auto release(connection_pointer connection) -> void;
 
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -293,6 +293,7 @@
             }
             break;
         }
+        (*connection)->addRequest(request.requestId);
         upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
                                    service.timeout, source, sink, cancel);
         result = co_await exchange.run();
@@ -325,7 +326,7 @@
     if (!openNew) {
         const auto maxIdleTime = request.idempotent ? connection_pool::MAX_IDLE_TIME
                                                     : connection_pool::MAX_IDLE_TIME_NON_IDEMPOTENT;
-        if (auto idle = m_pool.acquireIdle(target, maxIdleTime)) {
+        if (auto idle = m_pool.acquireIdle(target, maxIdleTime, request.requestId)) {
             co_return idle;
         }
     }
