--- a/tests/mesh/crashingrequesttest.cpp
+++ b/tests/mesh/crashingrequesttest.cpp
@@ -1,37 +1,27 @@
-#include "base/random.h"
 #include "platform/internal/wirenames.h"
-#include "platform/tests/messages.h"
-#include "tests/process/httpclient.h"
-#include "tests/support/meshfleet.h"
+#include "tests/mesh/meshcaller.h"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <csignal>
 #include <iostream>
 #include <mutex>
 #include <unistd.h>
 
 using namespace hawthornpick;
-using processtest::http_answer;
-using processtest::http_client;
+using meshtest::mesh_caller;
 using testsupport::mesh_fleet;
 
 namespace {
 
-namespace messages = platform::messages;
-
 constexpr testsupport::fleet_size FLEET_SIZE{3, 8};
 constexpr base::milliseconds RESTART_TIME{2000};
 constexpr base::milliseconds WORK_TIME{30};
-constexpr base::milliseconds START_LIMIT{30'000};
 //! Time after the third upstream that a request has ended in which every node learns of it.
 constexpr base::milliseconds LEARNING_TIME{3000};
 //! Upstreams that the request may still reach after that.
 constexpr int MAX_LATE_ENDS = 3;
-constexpr std::uint64_t DEADLINE_MS = 3000;
-constexpr unsigned NARROW_RATE = 1000;
 const std::string CRASHING_PATH_END = "crash";
 
 //! Mesh whose upstreams end as soon as they run a request whose path ends in "crash".
@@ -42,51 +32,14 @@
         : m_fleet(HAWTHORNPICK_BINARY,
                   std::filesystem::temp_directory_path()
                           / ("hawthornpick-mesh-" + std::to_string(getpid())),
-                  FLEET_SIZE, [this](int node, webapi::request incoming) {
+                  FLEET_SIZE,
+                  [this](int node, webapi::request incoming) {
                       return handle(node, std::move(incoming));
-                  })
+                  }),
+          m_caller(m_fleet)
     {}
 
-    auto fleet() -> mesh_fleet & { return m_fleet; }
-
-    //! Submits the configuration and waits until each node with an upstream serves a request.
-    auto waitUntilServed() -> bool
-    {
-        const auto end = base::clock::now() + START_LIMIT;
-        bool isAccepted = false;
-        for (int edge = 0; base::clock::now() < end;) {
-            if (!isAccepted) {
-                const auto answer = http_client(m_fleet.controlAddress(0))
-                                            .send("PUT", std::string(messages::CONFIGURATION_PATH),
-                                                  messages::changeHeaders(0),
-                                                  messages::configuration(1, NARROW_RATE));
-                isAccepted = answer && answer->status == 200;
-            } else if (const auto answer = sendTo(edge, "GET", "/r/start");
-                       answer && answer->status == 200) {
-                ++edge;
-            }
-            if (edge == FLEET_SIZE.edges) {
-                return true;
-            }
-            std::this_thread::sleep_for(base::milliseconds(100));
-        }
-        return false;
-    }
-
-    //! Sends a request to a node with an upstream, counted from 0.
-    auto sendTo(int edge, const std::string &method, const std::string &target,
-                const std::string &body = {}) -> std::optional<http_answer>
-    {
-        const auto id = "id-" + std::to_string(++m_requestCount);
-        return http_client(m_fleet.callerAddress(FLEET_SIZE.cores + edge))
-                .send(method, target, messages::requestHeaders(id, "wide", DEADLINE_MS), body);
-    }
-
-    auto sendToAny(const std::string &method, const std::string &target,
-                   const std::string &body = {}) -> std::optional<http_answer>
-    {
-        return sendTo(static_cast<int>(m_random.below(FLEET_SIZE.edges)), method, target, body);
-    }
+    auto caller() -> mesh_caller & { return m_caller; }
 
     [[nodiscard]] auto endCount() const -> std::size_t
     {
@@ -125,9 +78,8 @@
 
     mutable std::mutex m_mutex;
     std::vector<base::time_point> m_ends;
-    int m_requestCount = 0;
-    base::random_source m_random{1};
     mesh_fleet m_fleet;
+    mesh_caller m_caller;
 };
 
 struct repeat_counts
@@ -145,7 +97,7 @@
 {
     repeat_counts counts;
     for (int i = 0; i < count; ++i) {
-        const auto answer = fleet.sendToAny(method, target, body);
+        const auto answer = fleet.caller().sendToAny(method, target, body);
         CHECK(answer.has_value());
         if (answer && answer->reason == "crash_suspected") {
             CHECK_EQUAL(503, answer->status);
@@ -153,7 +105,7 @@
             ++counts.refused;
         }
         for (const auto end = base::clock::now() + pause; base::clock::now() < end;) {
-            const auto other = fleet.sendToAny("GET", "/r/" + std::to_string(i % 5));
+            const auto other = fleet.caller().sendToAny("GET", "/r/" + std::to_string(i % 5));
             ++counts.othersSent;
             counts.othersServed += other && other->status == 200 ? 1 : 0;
             std::this_thread::sleep_for(base::milliseconds(20));
@@ -174,7 +126,7 @@
 TEST(mesh, requestThatEndsUpstreamsIsRefusedByAllNodes)
 {
     crashing_fleet fleet;
-    CHECK(fleet.waitUntilServed());
+    CHECK(fleet.caller().waitUntilServed());
     const auto counts =
             repeatCrashingRequest(fleet, "GET", "/r/crash", {}, 30, base::milliseconds(400));
     CHECK(fleet.endCount() >= 3);
@@ -188,7 +140,7 @@
 TEST(mesh, writeThatEndsUpstreamsIsRefusedByAllNodes)
 {
     crashing_fleet fleet;
-    CHECK(fleet.waitUntilServed());
+    CHECK(fleet.caller().waitUntilServed());
     const auto counts = repeatCrashingRequest(fleet, "POST", "/w/crash", "order 7", 30,
                                               base::milliseconds(400));
     CHECK(fleet.endCount() >= 3);
--- /dev/null
+++ b/tests/mesh/meshcaller.cpp
@@ -0,0 +1,60 @@
+#include "tests/mesh/meshcaller.h"
+
+#include "platform/tests/messages.h"
+
+#include <thread>
+
+namespace hawthornpick::meshtest {
+
+namespace {
+
+namespace messages = platform::messages;
+
+constexpr base::milliseconds START_LIMIT{30'000};
+constexpr base::milliseconds POLL_INTERVAL{100};
+constexpr unsigned NARROW_RATE = 1000;
+
+} // namespace
+
+auto mesh_caller::waitUntilServed() -> bool
+{
+    const auto end = base::clock::now() + START_LIMIT;
+    bool isAccepted = false;
+    int servedCount = 0;
+    while (servedCount < edgeCount() && base::clock::now() < end) {
+        isAccepted = isAccepted || submitConfiguration();
+        const auto answer = isAccepted ? sendTo(servedCount, "GET", "/r/1") : std::nullopt;
+        if (answer && answer->status == 200) {
+            ++servedCount;
+        } else {
+            std::this_thread::sleep_for(POLL_INTERVAL);
+        }
+    }
+    return servedCount == edgeCount();
+}
+
+auto mesh_caller::submitConfiguration() -> bool
+{
+    processtest::http_client client(m_fleet.controlAddress(0));
+    const auto answer =
+            client.send("PUT", std::string(messages::CONFIGURATION_PATH),
+                        messages::changeHeaders(0), messages::configuration(1, NARROW_RATE));
+    return answer && answer->status == 200;
+}
+
+auto mesh_caller::sendTo(int edge, const std::string &method, const std::string &target,
+                         const std::string &body) -> std::optional<processtest::http_answer>
+{
+    const auto id = "id-" + std::to_string(++m_requestCount);
+    processtest::http_client client(m_fleet.callerAddress(m_fleet.cores() + edge));
+    return client.send(method, target, messages::requestHeaders(id, "wide", DEADLINE_MS), body);
+}
+
+auto mesh_caller::sendToAny(const std::string &method, const std::string &target,
+                            const std::string &body) -> std::optional<processtest::http_answer>
+{
+    const auto edge = m_random.below(static_cast<std::uint64_t>(edgeCount()));
+    return sendTo(static_cast<int>(edge), method, target, body);
+}
+
+} // namespace hawthornpick::meshtest
