caller: identify a request by what its caller sent, not by its route

Cause: the fingerprint held the id of the route. A configuration that renames or splits a route gave the same request a new identity, so that what was known of its crashes was lost; and it lacked the host, so that requests of two hosts on routes with one id shared an identity.

Change: the digest covers organisation, host, method, target and body; crashFingerprint takes no route.

--- a/src/app/internal/crashcontrol.cpp
+++ b/src/app/internal/crashcontrol.cpp
@@ -57,20 +57,18 @@
 auto crashFingerprintOf(const upstream::attempt_observation &observation)
         -> policy::crash_fingerprint
 {
-    return policy::crashFingerprint(observation.organisation, observation.route,
+    return policy::crashFingerprint(observation.organisation,
                                     base::toBytes(observation.fingerprint));
 }
 
 auto crashFingerprintOf(const upstream::attempt_request &request) -> policy::crash_fingerprint
 {
-    return policy::crashFingerprint(request.organisation, request.route,
-                                    base::toBytes(request.fingerprint));
+    return policy::crashFingerprint(request.organisation, base::toBytes(request.fingerprint));
 }
 
 auto crashFingerprintOf(const caller::selection_request &request) -> policy::crash_fingerprint
 {
-    return policy::crashFingerprint(request.organisation, request.route,
-                                    base::toBytes(request.fingerprint));
+    return policy::crashFingerprint(request.organisation, base::toBytes(request.fingerprint));
 }
 
 crash_control::crash_control(boost::asio::io_context &context, base::node_id node,
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -44,13 +44,14 @@
 }
 
 // Identifies a request that crashes upstreams, and the content of a request with an
-// Idempotency-Key. Fields are separated by bytes that they cannot contain. The digest does not
-// depend on how much of the body is buffered, which differs with the memory that is free.
+// Idempotency-Key. Fields are separated by bytes that they cannot contain. The route is left out,
+// because a configuration may rename or split it between two repeats. The digest does not depend
+// on how much of the body is buffered, which differs with the memory that is free.
 auto computeFingerprint(const upstream::attempt_request &request, const request_head &head)
         -> base::digest256
 {
-    std::string text = request.organisation.str() + '\n' + request.route.str() + '\n'
-                       + request.method + ' ' + request.target + '\n';
+    std::string text = request.organisation.str() + '\n' + head.host + '\n' + request.method + ' '
+                       + request.target + '\n';
     const bool isShort = request.bodyComplete && request.body.size() < MAX_FINGERPRINT_BODY_BYTES;
     if (isShort) {
         text += std::to_string(request.body.size());
--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -483,3 +483,46 @@
     const int remainingMs = std::stoi(head.substr(position + 23));
     CHECK_TRUE(remainingMs > 0 && remainingMs <= 300);
 }
+
+// Guards against a request that gets a new identity when its route is renamed or split: what is
+// known of the upstreams that it crashed would be lost. Other callers, hosts, methods, paths and
+// bodies have other identities.
+TEST(request_path_test, fingerprintIsThatOfTheRequestAndNotOfItsRoute)
+{
+    std::vector<base::digest256> fingerprints;
+    auto adjustHooks = [&fingerprints](caller::entry_hooks &hooks) {
+        hooks.selectNode = [&fingerprints](const caller::selection_request &request)
+                -> base::result<caller::chosen_node> {
+            fingerprints.push_back(request.fingerprint);
+            return base::fail(base::error_kind::NoUpstream);
+        };
+    };
+    test_node node("n1", testConfiguration(), 100, adjustHooks);
+    const auto fingerprintOf = [&](const std::string &method, const std::string &host,
+                                   const std::string &path, const std::string &body) {
+        fingerprints.clear();
+        exchange(node.port(), method + " " + path + " HTTP/1.1\r\nHost: " + host
+                                      + "\r\nX-Api-Key: k-secret\r\nConnection: close\r\n"
+                                        "Content-Length: "
+                                      + std::to_string(body.size()) + "\r\n\r\n" + body);
+        CHECK(!fingerprints.empty());
+        return fingerprints.empty() ? base::digest256{} : fingerprints.front();
+    };
+    const auto original = fingerprintOf("POST", "x", "/keyed/a", "body");
+    CHECK(original == fingerprintOf("POST", "x", "/keyed/a", "body"));
+    CHECK(original != fingerprintOf("PUT", "x", "/keyed/a", "body"));
+    CHECK(original != fingerprintOf("POST", "y", "/keyed/a", "body"));
+    CHECK(original != fingerprintOf("POST", "x", "/keyed/b", "body"));
+    CHECK(original != fingerprintOf("POST", "x", "/keyed/a", "other"));
+    CHECK(original != fingerprintOf("POST", "x", "/open/a", "body"));
+    auto split = testConfiguration();
+    split.routes.push_back(split.routes.front());
+    split.routes.back().id = base::route_id("keyed-a");
+    split.routes.back().pathPrefix = "/keyed/a";
+    node.configuration().store(std::make_shared<const config::snapshot>(2, split));
+    CHECK(original == fingerprintOf("POST", "x", "/keyed/a", "body"));
+    split.organisations.push_back({base::organisation_id("other"), 1e6, 1000000, 1});
+    split.keys.front().organisation = base::organisation_id("other");
+    node.configuration().store(std::make_shared<const config::snapshot>(3, split));
+    CHECK(original != fingerprintOf("POST", "x", "/keyed/a", "body"));
+}
--- a/src/policy/crashtracker.h
+++ b/src/policy/crashtracker.h
@@ -20,9 +20,9 @@
 //! Identifies a request that may crash upstreams.
 using crash_fingerprint = std::uint64_t;
 
-//! Returns the fingerprint of organisation, route and request digest; never 0. Thread safety: pure.
-auto crashFingerprint(const base::organisation_id &organisation, const base::route_id &route,
-                      std::string_view requestDigest) -> crash_fingerprint;
+//! Returns the fingerprint of organisation and request digest; never 0. Thread safety: pure.
+auto crashFingerprint(const base::organisation_id &organisation, std::string_view requestDigest)
+        -> crash_fingerprint;
 
 //! How a request may be run.
 enum class crash_verdict : std::uint8_t {
--- a/src/policy/internal/crashtracker.cpp
+++ b/src/policy/internal/crashtracker.cpp
@@ -56,12 +56,10 @@
 
 } // namespace
 
-auto crashFingerprint(const base::organisation_id &organisation, const base::route_id &route,
-                      std::string_view requestDigest) -> crash_fingerprint
+auto crashFingerprint(const base::organisation_id &organisation, std::string_view requestDigest)
+        -> crash_fingerprint
 {
-    auto value = base::hash64(organisation.str(), 1);
-    value = base::hash64(route.str(), value);
-    value = base::hash64(requestDigest, value);
+    const auto value = base::hash64(requestDigest, base::hash64(organisation.str(), 1));
     return value == 0 ? 1 : value;
 }
 
