--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -685,6 +685,28 @@
     CHECK_EQUAL(2, fleet.node(20).crashes[78].crashes);
 }
 
+// Guards against evidence of crashing requests that costs a connection between nodes: the record of
+// a node with as many as it publishes fits a datagram.
+TEST(directory, recordWithCrashesFitsADatagram)
+{
+    constexpr std::size_t MAX_DATAGRAM_BYTES = 1200;
+    constexpr std::uint64_t PUBLISHED_COUNT = 16;
+    auto record = makeRecord(1, false);
+    record.entry.upstreams = {makeUpstream("10.0.0.2:7000/i-76e77ecba1")};
+    for (std::uint64_t i = 0; i < PUBLISHED_COUNT; ++i) {
+        record.crashRecords.push_back({~i, {3, 3}});
+    }
+    const auto bytes = fleet::encodeMessage(fleet::report{record, {}, 1, {}, false});
+    CHECK(bytes.size() <= MAX_DATAGRAM_BYTES);
+    const auto decoded = fleet::decodeMessage(bytes);
+    CHECK(decoded && std::get<fleet::report>(*decoded).sender.crashRecords == record.crashRecords);
+    record.crashRecords.resize(fleet::node_record::MAX_CRASH_RECORDS + 1, {5, {0, 1}});
+    const auto cut =
+            fleet::decodeMessage(fleet::encodeMessage(fleet::report{record, {}, 1, {}, false}));
+    CHECK_EQUAL(fleet::node_record::MAX_CRASH_RECORDS,
+                std::get<fleet::report>(*cut).sender.crashRecords.size());
+}
+
 // Guards against one odd record that ends the process, hides the other records of its message, or
 // is used: an id that is no endpoint, or a state or number of slots out of range.
 TEST(directory, ignoresOddRecordsOnly)
