--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -24,6 +24,8 @@
 ABSL_FLAG(int, seconds, 15, "time with faults");
 ABSL_FLAG(int, cores, 3, "nodes with a data folder");
 ABSL_FLAG(int, edges, 6, "nodes with an upstream");
+ABSL_FLAG(bool, crashing_requests, false,
+          "also send requests that end each upstream that runs them");
 ABSL_FLAG(int, callers, 10, "callers, each with connections of its own");
 
 using namespace hawthornpick;
@@ -41,6 +43,10 @@
 constexpr std::chrono::seconds RECOVERY_TIME{15};
 constexpr std::chrono::seconds START_LIMIT{30};
 constexpr base::milliseconds POLL_INTERVAL{100};
+//! Start of the paths of requests that end their upstreams.
+constexpr std::string_view CRASHING_PATH = "/r/crash";
+//! Time for which an ended upstream is down.
+constexpr base::milliseconds UPSTREAM_DOWN_TIME{1000};
 //! Time that an upstream works on a request.
 constexpr base::milliseconds WORK_TIME{30};
 
@@ -84,9 +90,26 @@
             return 0;
         }
         m_promises.onAnswer(id, answer->status, answer->body);
+        if (answer->reason == "crash_suspected") {
+            m_promises.fail("a request that ends no upstream was refused as one that does");
+        }
         return answer->status;
     }
 
+    //! Sends one of a few requests that end each upstream that runs them, again and again.
+    auto repeatCrashingRequests(const std::stop_token &stop) -> void
+    {
+        while (!stop.stop_requested()) {
+            const auto id = "crash-" + std::to_string(++m_count);
+            const auto target = std::string(CRASHING_PATH) + std::to_string(m_random.below(3));
+            m_promises.onSent(id, "wide", false, base::clock::now());
+            (void)m_clients.at(m_random.below(m_clients.size()))
+                    ->send("GET", target,
+                           messages::requestHeaders(id, "wide", REQUEST_DEADLINE_MS));
+            pause(base::milliseconds(m_random.below(600)));
+        }
+    }
+
 private:
     promises &m_promises;
     int m_number;
@@ -371,7 +394,10 @@
                         / ("hawthornpick-soak-" + std::to_string(getpid()));
     mesh_fleet fleet(absl::GetFlag(FLAGS_binary), folder,
                      {absl::GetFlag(FLAGS_cores), absl::GetFlag(FLAGS_edges)},
-                     [&record](int /*node*/, webapi::request incoming) {
+                     [&record, &fleet](int node, webapi::request incoming) {
+                         if (incoming.path.starts_with(CRASHING_PATH)) {
+                             fleet.crashUpstream(node, UPSTREAM_DOWN_TIME);
+                         }
                          return answer(record, std::move(incoming));
                      });
     configuration_operator changes(fleet, record, seed + 1);
@@ -381,6 +407,11 @@
     }
     std::vector<std::jthread> threads;
     threads.emplace_back([&changes](const std::stop_token &stop) { changes.run(stop); });
+    if (absl::GetFlag(FLAGS_crashing_requests)) {
+        threads.emplace_back([&fleet, &record, seed](const std::stop_token &stop) {
+            caller(fleet, record, -1, seed + 3).repeatCrashingRequests(stop);
+        });
+    }
     for (int i = 1; i <= absl::GetFlag(FLAGS_callers); ++i) {
         threads.emplace_back([&fleet, &record, seed, i](const std::stop_token &stop) {
             caller(fleet, record, i, seed * 1000 + static_cast<std::uint64_t>(i)).run(stop);
