--- a/src/app/internal/crashprobe.h
+++ b/src/app/internal/crashprobe.h
@@ -38,7 +38,7 @@
     crash_probe(boost::asio::io_context &context, address_function addressOf,
                 result_function onResult);
 
-    //! Reports an attempt whose connection was lost before the response head was complete.
+    //! Reports an attempt whose connection was lost before the response was complete.
     auto onConnectionLost(const upstream::attempt_observation &observation) -> void;
 
 private:
--- a/src/policy/crashtracker.h
+++ b/src/policy/crashtracker.h
@@ -44,8 +44,8 @@
     //! Time of the first refusal. After it the request runs again as a suspect; each further crash
     //! doubles the time.
     base::duration refusalTime = CRASH_RECORD_LIFETIME;
-    //! True if a suspect runs only on its owner. Takes requests away from innocent suspects, but
-    //! leaves no two attempts of a suspect at the same time.
+    //! True if a suspect runs only on its owner. No two attempts of a suspect then run at the same
+    //! time, but most attempts of innocent suspects are refused.
     bool runsSuspectsOnOwner = true;
     //! A crash doesn't count against a request that succeeded on the same node within this time and
     //! hasn't crashed there since: a request that is sent often is lost with any upstream.
@@ -95,8 +95,8 @@
 //! that succeeds is cleared, so that requests that only ran beside the cause are not restricted.
 //!
 //! Evidence reaches the other nodes in one of two ways: as messages of `tick` to the nodes given to
-//! `setNodes`, several times because messages may be lost; or as `publishedRecords`, which the
-//! caller hands to `merge` of the others.
+//! `setNodes`, several times because messages may be lost; or as `publishedRecords`, which are to
+//! be passed to `merge` of the trackers of all other nodes.
 //!
 //! Memory: at most `MAX_ENTRIES` requests; those with the fewest crashes are removed first.
 //! Thread safety: any thread; one short lock.
--- a/tests/support/meshfleet.cpp
+++ b/tests/support/meshfleet.cpp
@@ -28,6 +28,15 @@
 
 } // namespace
 
+auto headerValue(const webapi::request &incoming, std::string_view name) -> std::string
+{
+    std::string lowerCaseName(name);
+    std::transform(lowerCaseName.begin(), lowerCaseName.end(), lowerCaseName.begin(),
+                   [](unsigned char item) { return static_cast<char>(std::tolower(item)); });
+    const auto position = incoming.headers.find(lowerCaseName);
+    return position == incoming.headers.end() ? std::string() : position->second;
+}
+
 mesh_fleet::mesh_fleet(std::string binary, std::filesystem::path folder, fleet_size size,
                        upstream_handler handler)
     : m_binary(std::move(binary)), m_folder(std::move(folder)), m_size(size),
--- a/tests/support/meshfleet.h
+++ b/tests/support/meshfleet.h
@@ -12,11 +12,15 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
 namespace hawthornpick::testsupport {
 
+//! Returns the value of a header, or an empty string. Thread safety: pure.
+auto headerValue(const webapi::request &incoming, std::string_view name) -> std::string;
+
 //! Size of a fleet, divided between two regions.
 struct fleet_size
 {
