--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -6,6 +6,9 @@
 #include "config/declaration.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 
 namespace hawthornpick::app {
@@ -17,6 +20,8 @@
 //! A quorum member that has not heard from the leader for longer than this may lack a committed
 //! version. Together with the report interval this bounds the delay until a node learns of one.
 constexpr base::milliseconds MAX_LEADER_CONTACT_AGE{1000};
+//! Below the one second after which upstreams repeat an announcement.
+constexpr base::milliseconds DEPARTURE_TIMEOUT{800};
 
 auto resolve(const base::node_id &node) -> std::optional<membership::endpoint>
 {
@@ -37,8 +42,9 @@
 mesh_control::mesh_control(boost::asio::io_context &context, const config::mesh_settings &settings,
                            const mesh_adapter &adapter, const peer::link_identity &identity,
                            base::metrics &metrics, mesh_control_callbacks callbacks)
-    : m_peerPort(settings.peerPort), m_ownNode(identity.node), m_applyChange(adapter.applyChange),
-      m_parseDocument(adapter.parseDocument), m_callbacks(std::move(callbacks)),
+    : m_context(context), m_peerPort(settings.peerPort), m_ownNode(identity.node),
+      m_applyChange(adapter.applyChange), m_parseDocument(adapter.parseDocument),
+      m_callbacks(std::move(callbacks)),
       m_runtime(context, identity, settings.peerListenAddress, resolve, metrics),
       m_traffic(metrics), m_bootId(base::systemSeed()),
       m_reporter(nodeRecord(settings), seedNodes(settings.seeds), reporterCallbacks()),
@@ -94,6 +100,22 @@
     callbacks.onDocument = [this](const fleet::config_document &document) {
         applyDocument(document);
     };
+    // Posted, because a change of the upstreams calls the reporter again.
+    callbacks.onFormerUpstreams = [this](std::vector<membership::upstream_entry> upstreams) {
+        boost::asio::post(m_context, [this, upstreams = std::move(upstreams)] {
+            m_callbacks.onFormerUpstreams(upstreams);
+        });
+    };
+    callbacks.onDirectoryComplete = [this] {
+        boost::asio::post(m_context, [this] {
+            m_knowsFormerUpstreams = true;
+            m_callbacks.onDirectoryComplete();
+            wakeStorageWaits();
+        });
+    };
+    callbacks.onStored = [this] {
+        wakeStorageWaits();
+    };
     callbacks.onHubChanged = [](const base::node_id &hub) {
         base::log(base::log_level::Info, "hub chosen", {{"hub", hub.str()}});
     };
@@ -246,6 +268,34 @@
     m_runtime.send(m_reporter.tick(base::clock::now()));
 }
 
+auto mesh_control::awaitUpstreamsStored() -> boost::asio::awaitable<bool>
+{
+    const auto isDone = [this] {
+        return m_knowsFormerUpstreams && m_reporter.isStored(m_reporter.self().sequence);
+    };
+    const auto deadline = base::clock::now() + DEPARTURE_TIMEOUT;
+    if (!isDone()) {
+        m_runtime.send(m_reporter.requestStorage(base::clock::now()));
+    }
+    boost::asio::steady_timer timer(m_context);
+    m_storageWaits.insert(&timer);
+    while (!isDone() && base::clock::now() < deadline) {
+        timer.expires_at(deadline);
+        boost::system::error_code cancelled;
+        co_await timer.async_wait(
+                boost::asio::redirect_error(boost::asio::use_awaitable, cancelled));
+    }
+    m_storageWaits.erase(&timer);
+    co_return isDone();
+}
+
+auto mesh_control::wakeStorageWaits() -> void
+{
+    for (auto *timer : m_storageWaits) {
+        timer->cancel();
+    }
+}
+
 auto mesh_control::setCrashRecords(std::vector<base::crash_record> records) -> void
 {
     if (m_reporter.self().crashRecords != records) {
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -11,9 +11,11 @@
 #include "quorum/quorumnode.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace hawthornpick::app {
 
@@ -33,6 +35,10 @@
     std::function<base::usage_map()> changedUsages;
     //! Receives the evidence of requests that crash upstreams from another node.
     std::function<void(const std::vector<base::crash_record> &records)> onCrashRecords;
+    //! Receives the upstreams that former processes of this node published.
+    std::function<void(const std::vector<membership::upstream_entry> &upstreams)> onFormerUpstreams;
+    //! Called once, when all that the fleet knows of former processes has been received.
+    std::function<void()> onDirectoryComplete;
     //! Returns true if the usage of an organisation is near its limit or exceeds it.
     fleet::hub::near_limit_function isNearLimit;
 };
@@ -52,6 +58,10 @@
 
     //! Publishes the upstreams that are registered at this host.
     auto setUpstreams(std::vector<membership::upstream_entry> upstreams) -> void;
+    //! Waits until the published upstreams are stored by other nodes, so that a successor of this
+    //! process learns of them, and until the upstreams of former processes are known. Returns false
+    //! if this takes longer than `DEPARTURE_TIMEOUT`.
+    auto awaitUpstreamsStored() -> boost::asio::awaitable<bool>;
     //! Publishes the evidence of requests that crash the upstreams of this host. No effect if it is
     //! unchanged.
     auto setCrashRecords(std::vector<base::crash_record> records) -> void;
@@ -89,9 +99,11 @@
     // place of the hubs while none of them is reachable.
     auto runDeputy(const std::function<messages()> &action) -> messages;
     auto onCommitted(const quorum::value_pointer &value) -> void;
+    auto wakeStorageWaits() -> void;
     auto applyDocument(const fleet::config_document &document) -> void;
     auto countSent(const base::outgoing_message &message) -> void;
 
+    boost::asio::io_context &m_context;
     std::uint16_t m_peerPort;
     base::node_id m_ownNode;
     std::function<tl::expected<std::string, std::string>(const std::string &,
@@ -107,7 +119,10 @@
     fleet::deputy m_deputy;
     std::optional<fleet::hub> m_hub;
     std::optional<quorum::quorum_node> m_quorum;
+    bool m_knowsFormerUpstreams = false;
     base::config_version m_appliedVersion = 0;
+    //! Timers of the calls of `awaitUpstreamsStored`; cancelled when a hub has stored the record.
+    std::set<boost::asio::steady_timer *> m_storageWaits;
 };
 
 } // namespace hawthornpick::app
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -202,6 +202,13 @@
         callbacks.onCrashRecords = [this](const std::vector<base::crash_record> &records) {
             m_crashControl.merge(records);
         };
+        callbacks.onFormerUpstreams =
+                [this](const std::vector<membership::upstream_entry> &upstreams) {
+                    m_upstreams.registry().restore(upstreams, base::clock::now());
+                };
+        callbacks.onDirectoryComplete = [this] {
+            m_upstreams.registry().allowUse();
+        };
         callbacks.isNearLimit = [this](const base::organisation_id &organisation,
                                        const base::rate_usage &usage) {
             return limits::fleet_rate_limiter::isNearLimit(limitOf(organisation), usage);
@@ -292,7 +299,8 @@
                 m_adapter.wire,
                 {false, false},
                 m_settings.heartbeat * MAX_MISSED_HEARTBEATS,
-                policy::queue_order::Urgency};
+                policy::queue_order::Urgency,
+                upstream::initial_use::Withheld};
     }
 
     auto callerDependencies() -> caller::server_dependencies
@@ -534,10 +542,10 @@
     {
         mesh_node_operations operations;
         operations.announce = [this](const upstream::announcement &announcement) {
-            return m_upstreams.registry().announce(announcement, base::clock::now());
+            return announce(announcement);
         };
         operations.withdraw = [this](const std::string &name) {
-            return m_upstreams.registry().withdraw(name);
+            return withdraw(name);
         };
         operations.isReady = [this] {
             return !m_isDraining && m_configuration.load()->version() > 0;
@@ -553,6 +561,34 @@
         return operations;
     }
 
+    auto announce(const upstream::announcement &announcement) -> asio::awaitable<bool>
+    {
+        const auto result = m_upstreams.registry().announce(announcement, base::clock::now());
+        if (result == upstream::announce_result::Full) {
+            co_return false;
+        }
+        if (announcement.state != membership::upstream_state::Draining) {
+            co_return true;
+        }
+        const bool isStored = co_await m_control.awaitUpstreamsStored();
+        if (!isStored) {
+            base::log(base::log_level::Warning, "drain not acknowledged: not stored by other nodes",
+                      {{"upstream", announcement.name}});
+        }
+        co_return isStored;
+    }
+
+    auto withdraw(const std::string &name) -> asio::awaitable<bool>
+    {
+        const auto result = m_upstreams.registry().withdraw(name, base::clock::now());
+        const bool isStored = co_await m_control.awaitUpstreamsStored();
+        base::log(base::log_level::Info, "upstream withdrawn",
+                  {{"upstream", name},
+                   {"known", result == upstream::withdraw_result::Withdrawn},
+                   {"stored", isStored}});
+        co_return isStored;
+    }
+
     auto readiness() const -> std::vector<status::readiness_check>
     {
         return {{"configured", m_configuration.load()->version() > 0},
--- a/src/app/meshadapter.h
+++ b/src/app/meshadapter.h
@@ -19,10 +19,15 @@
 //! thread only.
 struct mesh_node_operations
 {
-    //! Registers an upstream of this host or renews its registration.
-    std::function<upstream::announce_result(const upstream::announcement &announcement)> announce;
-    //! Removes the registration of an upstream of this host; false if there is none of this name.
-    std::function<bool(const std::string &name)> withdraw;
+    //! Arguments must outlive the awaited result.
+    //! Registers an upstream of this host or renews its registration. Returns false if it can't be
+    //! acknowledged: the maximum number of upstreams is reached, or the upstream drains and other
+    //! nodes have not stored this in time, so that a restart of this node would forget it.
+    std::function<boost::asio::awaitable<bool>(const upstream::announcement &announcement)>
+            announce;
+    //! Removes the registration of an upstream of this host. Returns false if it can't be
+    //! acknowledged because other nodes have not stored this in time.
+    std::function<boost::asio::awaitable<bool>(const std::string &name)> withdraw;
     //! Proposes a change of the configuration and waits for the result. Empty on nodes that do not
     //! store the configuration.
     std::function<boost::asio::awaitable<quorum::group_answer>(quorum::config_change change)>
--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -57,6 +57,10 @@
     //! A committed document is pushed to the nodes whose last report is at most this old.
     static constexpr base::milliseconds PUSH_MAX_REPORT_AGE{2000};
 
+    //! Time after its start in which a hub collects the directory, unless a hub with a complete one
+    //! answers earlier: each node reports four times.
+    static constexpr base::milliseconds DIRECTORY_COLLECTION_TIME{2000};
+
     //! Interval at which changed usage is sent to the other hubs of the region, and totals near a
     //! limit to nodes. Short, because an organisation that suddenly sends many times its usual load
     //! uses up its limit within a second.
@@ -130,6 +134,11 @@
             -> messages;
     auto onSyncAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
             -> void;
+    [[nodiscard]] auto onStoreRequest(const base::node_id &from, const store_request &content)
+            -> messages;
+    //! Stores what another node knows about the departures of upstreams.
+    auto mergeDepartures(const std::vector<node_record> &records) -> void;
+    [[nodiscard]] auto isDirectoryComplete(base::time_point now) const -> bool;
     auto onUsageUpdate(const base::node_id &from, const usage_update &content) -> void;
     auto sendSyncRequests(base::time_point now) -> messages;
     auto sendUsageUpdates(base::time_point now) -> messages;
@@ -170,6 +179,9 @@
     //! All regions but the own one.
     std::map<base::region_id, region_state> m_otherRegions;
     config_document m_document;
+    std::optional<base::time_point> m_firstTickAt;
+    //! True once a hub with a complete directory has sent the changes of it.
+    bool m_hasCompleteDirectory = false;
     base::time_point m_nextSyncAt;
     //! Organisations whose usage at the nodes of this hub changed since it was sent to other hubs.
     std::set<base::organisation_id> m_changedOrganisations;
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -6,6 +6,8 @@
   3: i32 slots
   4: i8 state
   5: i64 incarnation
+  // True once the upstream has announced that it leaves.
+  6: optional bool leaving
 }
 
 // Evidence that a request crashes upstreams. The record with the higher (generation, crashes) is
@@ -30,6 +32,8 @@
   10: string reports_to
   // Evidence from the upstreams of the node; left out if there is none.
   11: optional list<crash_record> crash_records
+  // Upstreams that former processes of the node published and the current one doesn't list.
+  12: optional list<upstream> former_upstreams
 }
 
 // Usage of an organisation's limit: demand in units of 1/256 request per second, and the number of
@@ -54,6 +58,8 @@
   7: optional binary directory_digest
   // True if the sender knows hubs of its region, but reports to one of another region.
   8: bool distant
+  // Records with upstreams that left; sent to a hub whose directory may be incomplete.
+  9: optional list<node_record> known_departures
 }
 
 struct report_answer {
@@ -68,6 +74,8 @@
   9: i64 known_generation
   // Number of nodes whose usage is in the totals.
   10: i32 covered_nodes
+  // True if the hub's directory has been collected since its start.
+  11: optional bool complete
 }
 
 // Sent by each hub to the other hubs of its region, with the summed usage of the nodes that report to
@@ -88,6 +96,19 @@
   // Summed usage of the sender's region; set only if the receiver is in another region.
   4: optional list<usage> region_usages
   5: i32 region_nodes
+  // True if the sender's directory has been collected since its start.
+  6: optional bool complete
+}
+
+// Asks a hub to store the sender's record.
+struct store_request {
+  1: node_record sender
+}
+
+// Generation and sequence of the receiver's record that the sender holds.
+struct store_answer {
+  1: i64 generation
+  2: i64 sequence
 }
 
 // Pushed by a hub to its nodes when a version is committed.
@@ -118,4 +139,6 @@
   5: optional config_notice notice
   6: optional usage_update usage_change
   7: optional usage_totals usage_total
+  8: optional store_request store
+  9: optional store_answer stored
 }
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -50,11 +50,15 @@
     if (const auto *update = std::get_if<usage_update>(&content)) {
         onUsageUpdate(from, *update);
     }
+    if (const auto *request = std::get_if<store_request>(&content)) {
+        return onStoreRequest(from, *request);
+    }
     return {};
 }
 
 auto hub::tick(base::time_point now) -> messages
 {
+    m_firstTickAt = m_firstTickAt.value_or(now);
     messages out;
     if (now >= m_nextUsageUpdateAt) {
         m_nextUsageUpdateAt = now + USAGE_UPDATE_INTERVAL;
@@ -103,6 +107,7 @@
         answer.knownGeneration = known->generation;
     }
     m_records.merge(content.sender);
+    mergeDepartures(content.knownDepartures);
     m_reporters[from] = {now, content.usages};
     answer.records = nearerHubsFor(content);
     if (answer.records.empty()) {
@@ -111,6 +116,7 @@
     }
     const auto &sum = recentFleetUsage(now);
     answer.coveredNodeCount = roundToCount(sum.nodeCount);
+    answer.isDirectoryComplete = isDirectoryComplete(now);
     answer.usageTotals = totalsFor(content.usages, sum.usages);
     return {toOutgoingMessage(from, answer)};
 }
@@ -171,7 +177,8 @@
         const auto sum = regionUsage(now);
         return {toOutgoingMessage(from, sync_answer{m_records.cursor(),
                                                     recordsForOtherRegion(content.cursor),
-                                                    sum.usages, roundToCount(sum.nodeCount)})};
+                                                    sum.usages, roundToCount(sum.nodeCount),
+                                                    isDirectoryComplete(now)})};
     }
     auto &peer = m_peers[from];
     peer.lastRequestAt = now;
@@ -183,7 +190,8 @@
     if (records.empty()) {
         return {};
     }
-    return {toOutgoingMessage(from, sync_answer{m_records.cursor(), records, std::nullopt, 0})};
+    return {toOutgoingMessage(from, sync_answer{m_records.cursor(), records, std::nullopt, 0,
+                                                isDirectoryComplete(now)})};
 }
 
 auto hub::onSyncAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
@@ -198,6 +206,7 @@
         region->second.usage = {*content.regionUsages,
                                 static_cast<double>(content.regionNodeCount)};
     }
+    m_hasCompleteDirectory = m_hasCompleteDirectory || content.isDirectoryComplete;
     for (const auto &record : content.records) {
         if (record.entry.id == self().entry.id) {
             m_reporter.supersede(record);
@@ -209,6 +218,36 @@
     }
 }
 
+auto hub::onStoreRequest(const base::node_id &from, const store_request &content) -> messages
+{
+    if (m_options.isDeputy) {
+        return {};
+    }
+    m_records.merge(content.sender);
+    const auto &stored = *m_records.find(content.sender.entry.id);
+    return {toOutgoingMessage(from, store_answer{stored.generation, stored.sequence})};
+}
+
+// A node that hasn't reported here may have ended: its record is stored as dead, and as older than
+// any that the node sends.
+auto hub::mergeDepartures(const std::vector<node_record> &records) -> void
+{
+    for (auto record : records) {
+        if (m_records.find(record.entry.id) == nullptr) {
+            record.entry.state = membership::node_state::Dead;
+            record.sequence = 0;
+        }
+        m_records.merge(record);
+    }
+}
+
+auto hub::isDirectoryComplete(base::time_point now) const -> bool
+{
+    return !m_options.isDeputy
+           && (m_hasCompleteDirectory
+               || (m_firstTickAt && now - *m_firstTickAt >= DIRECTORY_COLLECTION_TIME));
+}
+
 auto hub::onUsageUpdate(const base::node_id &from, const usage_update &content) -> void
 {
     const auto apply = [&content](base::usage_map &usages) {
@@ -374,13 +413,14 @@
 }
 
 // Leaves out nodes that report to a hub of another region: that region gets their records from its
-// own hubs, and a third region queries it for them. Hubs are never left out: if all contacts are in
-// this region, the hubs of another one learn of each other only here.
+// own hubs, and a third region queries it for them. Records with departures are kept, because the
+// hubs of that region may have restarted together with the node. Hubs are never left out: if all
+// contacts are in this region, the hubs of another one learn of each other only here.
 auto hub::recordsForOtherRegion(const directory_cursor &cursor) const -> std::vector<node_record>
 {
     auto records = m_records.allChangedSince(cursor);
     std::erase_if(records, [this](const node_record &record) {
-        return !record.isHub && isServedByOtherRegion(record.reportsTo);
+        return !record.isHub && !record.hasDeparture() && isServedByOtherRegion(record.reportsTo);
     });
     return records;
 }
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -25,6 +25,9 @@
     out.slots = static_cast<std::int32_t>(item.slots);
     out.state = static_cast<std::int8_t>(item.state);
     out.incarnation = static_cast<std::int64_t>(item.incarnation);
+    if (item.isLeaving) {
+        out.__set_leaving(true);
+    }
     return out;
 }
 
@@ -36,6 +39,7 @@
     out.slots = static_cast<std::uint32_t>(item.slots);
     out.state = static_cast<membership::upstream_state>(item.state);
     out.incarnation = static_cast<base::incarnation>(item.incarnation);
+    out.isLeaving = item.leaving;
     return out;
 }
 
@@ -82,6 +86,10 @@
         out.crash_records.push_back(toWire(record));
         out.__isset.crash_records = true;
     }
+    for (const auto &upstream : item.formerUpstreams) {
+        out.former_upstreams.push_back(toWire(upstream));
+        out.__isset.former_upstreams = true;
+    }
     return out;
 }
 
@@ -103,6 +111,11 @@
     out.isHub = item.hub;
     out.reportsTo = base::node_id(item.reports_to);
     out.crashRecords = fromWire(item.crash_records);
+    for (const auto &upstream : item.former_upstreams) {
+        if (out.formerUpstreams.size() < node_record::MAX_FORMER_UPSTREAMS) {
+            out.formerUpstreams.push_back(fromWire(upstream));
+        }
+    }
     return out;
 }
 
@@ -123,14 +136,19 @@
            && item.state >= 0 && item.state <= lastState;
 }
 
+auto areValid(const std::vector<wire::upstream> &items) -> bool
+{
+    return std::all_of(items.begin(), items.end(),
+                       [](const wire::upstream &item) { return isValid(item); });
+}
+
 // A record of another writer, or of a newer version, may hold values that this version can't use.
 auto isValid(const wire::node_record &item) -> bool
 {
     const auto address = membership::parseEndpoint(item.node);
     const auto lastState = static_cast<std::int8_t>(membership::node_state::Dead);
     return address && address->port != 0 && item.state >= 0 && item.state <= lastState
-           && std::all_of(item.upstreams.begin(), item.upstreams.end(),
-                          [](const wire::upstream &upstream) { return isValid(upstream); });
+           && areValid(item.upstreams) && areValid(item.former_upstreams);
 }
 
 auto fromWire(const std::vector<wire::node_record> &items) -> std::vector<node_record>
@@ -220,6 +238,14 @@
     {
         return "usage_totals";
     }
+    auto operator()(const store_request & /*content*/) const -> std::string_view
+    {
+        return "store_request";
+    }
+    auto operator()(const store_answer & /*content*/) const -> std::string_view
+    {
+        return "store_answer";
+    }
 };
 
 struct message_writer
@@ -239,6 +265,9 @@
         if (content.directoryDigest) {
             encoded.__set_directory_digest(content.directoryDigest->toBytes());
         }
+        if (!content.knownDepartures.empty()) {
+            encoded.__set_known_departures(toWire(content.knownDepartures));
+        }
         out.__set_node_report(encoded);
     }
     auto operator()(const report_answer &content) const -> void
@@ -255,6 +284,7 @@
         encoded.totals = toWire(content.usageTotals);
         encoded.known_generation = static_cast<std::int64_t>(content.knownGeneration);
         encoded.covered_nodes = static_cast<std::int32_t>(content.coveredNodeCount);
+        encoded.__set_complete(content.isDirectoryComplete);
         out.__set_answer(encoded);
     }
     auto operator()(const sync_request &content) const -> void
@@ -277,6 +307,7 @@
             encoded.__set_region_usages(toWire(*content.regionUsages));
         }
         encoded.region_nodes = static_cast<std::int32_t>(content.regionNodeCount);
+        encoded.__set_complete(content.isDirectoryComplete);
         out.__set_synced(encoded);
     }
     auto operator()(const config_notice &content) const -> void
@@ -300,6 +331,19 @@
         encoded.covered_nodes = static_cast<std::int32_t>(content.coveredNodeCount);
         out.__set_usage_total(encoded);
     }
+    auto operator()(const store_request &content) const -> void
+    {
+        wire::store_request encoded;
+        encoded.sender = toWire(content.sender);
+        out.__set_store(encoded);
+    }
+    auto operator()(const store_answer &content) const -> void
+    {
+        wire::store_answer encoded;
+        encoded.generation = static_cast<std::int64_t>(content.generation);
+        encoded.sequence = static_cast<std::int64_t>(content.sequence);
+        out.__set_stored(encoded);
+    }
 };
 
 auto reportAnswerFromWire(wire::report_answer &encoded) -> report_answer
@@ -315,11 +359,21 @@
     answer.usageTotals = fromWire(encoded.totals);
     answer.knownGeneration = static_cast<std::uint64_t>(encoded.known_generation);
     answer.coveredNodeCount = nodeCountFromWire(encoded.covered_nodes);
+    answer.isDirectoryComplete = encoded.complete;
     return answer;
 }
 
 } // namespace
 
+auto node_record::hasDeparture() const -> bool
+{
+    const auto isLeaving = [](const membership::upstream_entry &item) {
+        return item.isLeaving;
+    };
+    return std::any_of(entry.upstreams.begin(), entry.upstreams.end(), isLeaving)
+           || std::any_of(formerUpstreams.begin(), formerUpstreams.end(), isLeaving);
+}
+
 // Leaves out the sequence and the hub in use, which change without a change that matters to other
 // nodes.
 auto directory_digest::toggle(const node_record &record) -> void
@@ -392,7 +446,8 @@
                       fromWire(encoded.usages),
                       encoded.probe,
                       digestFromWire(encoded.__isset.directory_digest, encoded.directory_digest),
-                      encoded.distant};
+                      encoded.distant,
+                      fromWire(encoded.known_departures)};
     }
     if (decoded->__isset.answer) {
         return reportAnswerFromWire(decoded->answer);
@@ -412,6 +467,7 @@
         if (encoded.__isset.region_usages) {
             answer.regionUsages = fromWire(encoded.region_usages);
         }
+        answer.isDirectoryComplete = encoded.complete;
         return answer;
     }
     if (decoded->__isset.notice) {
@@ -425,6 +481,16 @@
         return usage_totals{fromWire(decoded->usage_total.totals),
                             nodeCountFromWire(decoded->usage_total.covered_nodes)};
     }
+    if (decoded->__isset.store) {
+        if (!isValid(decoded->store.sender)) {
+            return std::nullopt;
+        }
+        return store_request{fromWire(decoded->store.sender)};
+    }
+    if (decoded->__isset.stored) {
+        return store_answer{static_cast<std::uint64_t>(decoded->stored.generation),
+                            static_cast<std::uint64_t>(decoded->stored.sequence)};
+    }
     return std::nullopt;
 }
 
--- a/src/fleet/internal/recordtable.cpp
+++ b/src/fleet/internal/recordtable.cpp
@@ -1,5 +1,7 @@
 #include "fleet/recordtable.h"
 
+#include <algorithm>
+
 namespace hawthornpick::fleet {
 
 namespace {
@@ -7,7 +9,59 @@
 auto hasSameContent(const node_record &left, const node_record &right) -> bool
 {
     return left.entry == right.entry && left.generation == right.generation
-           && left.isHub == right.isHub && left.crashRecords == right.crashRecords;
+           && left.isHub == right.isHub && left.crashRecords == right.crashRecords
+           && left.formerUpstreams == right.formerUpstreams;
+}
+
+using upstream_entries = std::vector<membership::upstream_entry>;
+
+// Returns true if `listed` tells at least as much as `former` about the same upstream.
+auto covers(const membership::upstream_entry &listed, const membership::upstream_entry &former)
+        -> bool
+{
+    if (listed.id != former.id || listed.incarnation < former.incarnation) {
+        return false;
+    }
+    return listed.incarnation > former.incarnation || listed.isLeaving || !former.isLeaving;
+}
+
+auto addFormerUpstreams(upstream_entries &known, const upstream_entries &listed,
+                        const upstream_entries &added) -> void
+{
+    for (const auto &item : added) {
+        const auto coversItem = [&item](const membership::upstream_entry &other) {
+            return covers(other, item);
+        };
+        if (std::any_of(listed.begin(), listed.end(), coversItem)
+            || std::any_of(known.begin(), known.end(), coversItem)) {
+            continue;
+        }
+        std::erase_if(known, [&item](const membership::upstream_entry &other) {
+            return covers(item, other);
+        });
+        known.push_back(item);
+    }
+}
+
+// Returns the upstreams of former processes that the two records of one node tell of and that the
+// newer one doesn't list.
+auto formerUpstreamsOf(const node_record &newer, const node_record &older) -> upstream_entries
+{
+    upstream_entries former;
+    const auto &listed = newer.entry.upstreams;
+    addFormerUpstreams(former, listed, newer.formerUpstreams);
+    addFormerUpstreams(former, listed, older.formerUpstreams);
+    if (newer.generation != older.generation) {
+        addFormerUpstreams(former, listed, older.entry.upstreams);
+    }
+    std::sort(former.begin(), former.end(), [](const auto &left, const auto &right) {
+        return std::tuple(right.isLeaving, right.incarnation, left.id)
+               < std::tuple(left.isLeaving, left.incarnation, right.id);
+    });
+    if (former.size() > node_record::MAX_FORMER_UPSTREAMS) {
+        former.resize(node_record::MAX_FORMER_UPSTREAMS);
+    }
+    return former;
 }
 
 } // namespace
@@ -16,9 +70,24 @@
 {
     auto &stored = m_records[record.entry.id];
     const bool isNew = stored.changeNumber == 0;
-    if (!isNew && !record.isNewerThan(stored.record)) {
+    if (isNew) {
+        store(stored, record);
+        return true;
+    }
+    const bool isNewer = record.isNewerThan(stored.record);
+    auto merged = isNewer ? record : stored.record;
+    merged.formerUpstreams = isNewer ? formerUpstreamsOf(record, stored.record)
+                                     : formerUpstreamsOf(stored.record, record);
+    if (!isNewer && merged.formerUpstreams == stored.record.formerUpstreams) {
         return false;
     }
+    store(stored, std::move(merged));
+    return true;
+}
+
+auto record_table::store(numbered_record &stored, node_record record) -> void
+{
+    const bool isNew = stored.changeNumber == 0;
     m_nodeByChangeNumber.erase(stored.changeNumber);
     stored.changeNumber = ++m_lastChangeNumber;
     m_nodeByChangeNumber[stored.changeNumber] = record.entry.id;
@@ -29,8 +98,7 @@
         m_digest.toggle(record);
         stored.contentChangeNumber = stored.changeNumber;
     }
-    stored.record = record;
-    return true;
+    stored.record = std::move(record);
 }
 
 auto record_table::find(const base::node_id &node) const -> const node_record *
@@ -76,6 +144,17 @@
     });
 }
 
+auto record_table::departures() const -> std::vector<node_record>
+{
+    std::vector<node_record> found;
+    forEach([&found](const node_record &record) {
+        if (record.hasDeparture()) {
+            found.push_back(record);
+        }
+    });
+    return found;
+}
+
 auto record_table::differingFrom(const directory_digest &reader) const -> std::vector<node_record>
 {
     std::vector<node_record> differing;
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -13,6 +13,8 @@
 
 //! Number of hubs and deputies whose positions are kept: those of a fleet, and some that are gone.
 constexpr std::size_t MAX_KNOWN_POSITIONS = 64;
+//! Number of hubs that are asked to store a record at the same time: one more than must do so.
+constexpr std::size_t MAX_STORE_REQUESTS = reporter::STORE_COPIES + 1;
 
 } // namespace
 
@@ -29,6 +31,9 @@
     if (const auto *answer = std::get_if<report_answer>(&content)) {
         return onReportAnswer(from, *answer, now);
     }
+    if (const auto *answer = std::get_if<store_answer>(&content)) {
+        onStoreAnswer(from, *answer);
+    }
     if (const auto *notice = std::get_if<config_notice>(&content)) {
         applyDocument(notice->document);
     }
@@ -40,6 +45,16 @@
 }
 
 auto reporter::tick(base::time_point now) -> messages
+{
+    auto out = advance(now);
+    if (now < m_storeRequestsEnd && now >= m_nextStoreRequestAt && !isStored(m_self.sequence)) {
+        auto requests = sendStoreRequests(now);
+        out.insert(out.end(), requests.begin(), requests.end());
+    }
+    return out;
+}
+
+auto reporter::advance(base::time_point now) -> messages
 {
     if (!m_probedHub.empty() && now - m_probeSentAt >= PROBE_TIMEOUT) {
         return probeNextHub(now);
@@ -71,6 +86,56 @@
     return {toOutgoingMessage(m_hub, usage_update{std::move(usages), false})};
 }
 
+auto reporter::requestStorage(base::time_point now) -> messages
+{
+    m_storeRequestsEnd = now + STORE_TIMEOUT;
+    m_storeRequestRound = 0;
+    return sendStoreRequests(now);
+}
+
+// Each round starts with another hub, because some of them may be unreachable.
+auto reporter::sendStoreRequests(base::time_point now) -> messages
+{
+    m_nextStoreRequestAt = now + STORE_INTERVAL;
+    auto hubs = hubsByPreference(now);
+    std::erase_if(hubs, [this](const base::node_id &hub) {
+        const auto stored = m_storedSequences.find(hub);
+        return stored != m_storedSequences.end() && stored->second >= m_self.sequence;
+    });
+    messages out;
+    for (std::size_t i = 0; i < std::min(hubs.size(), MAX_STORE_REQUESTS); ++i) {
+        const auto &hub = hubs.at((m_storeRequestRound + i) % hubs.size());
+        out.push_back(toOutgoingMessage(hub, store_request{m_self}));
+    }
+    ++m_storeRequestRound;
+    return out;
+}
+
+auto reporter::isStored(std::uint64_t sequence) const -> bool
+{
+    const auto copies =
+            std::count_if(m_storedSequences.begin(), m_storedSequences.end(),
+                          [sequence](const auto &item) { return item.second >= sequence; });
+    std::set<base::node_id> hubs(m_contacts.begin(), m_contacts.end());
+    m_records.forEach([&hubs](const node_record &record) {
+        if (record.isAliveHub()) {
+            hubs.insert(record.entry.id);
+        }
+    });
+    return copies > 0 && static_cast<std::size_t>(copies) >= std::min(STORE_COPIES, hubs.size());
+}
+
+auto reporter::onStoreAnswer(const base::node_id &from, const store_answer &answer) -> void
+{
+    supersede(answer.generation);
+    if (answer.generation != m_self.generation) {
+        return;
+    }
+    auto &stored = m_storedSequences[from];
+    stored = std::max(stored, answer.sequence);
+    m_callbacks.onStored();
+}
+
 auto reporter::setUpstreams(std::vector<membership::upstream_entry> upstreams) -> void
 {
     if (m_self.entry.upstreams == upstreams) {
@@ -185,7 +250,11 @@
     m_cursors[m_hub] = answer.cursor;
     bool hasChanged = false;
     for (const auto &record : answer.records) {
-        if (record.entry.id == m_self.entry.id || !m_records.merge(record)) {
+        if (record.entry.id == m_self.entry.id) {
+            applyOwnRecord(record);
+            continue;
+        }
+        if (!m_records.merge(record)) {
             continue;
         }
         hasChanged = true;
@@ -194,6 +263,13 @@
         }
     }
     supersede(answer.knownGeneration);
+    // Without a position, the answer doesn't contain the directory.
+    const bool hasDirectory = answer.cursor.bootId != 0;
+    m_mustTellDepartures = hasDirectory && !answer.isDirectoryComplete;
+    if (hasDirectory && answer.isDirectoryComplete
+        && !std::exchange(m_hasCompleteDirectory, true)) {
+        m_callbacks.onDirectoryComplete();
+    }
     if (hasChanged) {
         publishView();
     }
@@ -202,6 +278,19 @@
     }
 }
 
+// The hub's record of this node tells what former processes published, whose promises bind this
+// one.
+auto reporter::applyOwnRecord(const node_record &record) -> void
+{
+    auto former = record.formerUpstreams;
+    if (record.generation != m_self.generation) {
+        former.insert(former.end(), record.entry.upstreams.begin(), record.entry.upstreams.end());
+    }
+    if (!former.empty()) {
+        m_callbacks.onFormerUpstreams(std::move(former));
+    }
+}
+
 // Ignores versions that are not newer, so that an answer from a lagging hub does not roll back the
 // configuration.
 auto reporter::applyDocument(const config_document &document) -> void
@@ -229,6 +318,9 @@
     nodeReport.usesDistantHub =
             distanceTo(m_hub) > 1 && !m_records.aliveHubsIn(m_self.entry.region).empty();
     m_reportedAsDistant = nodeReport.usesDistantHub;
+    if (std::exchange(m_mustTellDepartures, false) && !m_usesDeputy) {
+        nodeReport.knownDepartures = m_records.departures();
+    }
     return {toOutgoingMessage(m_hub, nodeReport)};
 }
 
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -34,6 +34,14 @@
     //! Longer lists of other nodes are cut.
     static constexpr std::size_t MAX_CRASH_RECORDS = 32;
 
+    //! Upstreams that former processes of the node published and the current one doesn't list.
+    //! Added by the nodes that store the record, never by the node itself; at most
+    //! `MAX_FORMER_UPSTREAMS`.
+    std::vector<membership::upstream_entry> formerUpstreams = {};
+
+    //! Further entries are dropped, those of upstreams that leave last.
+    static constexpr std::size_t MAX_FORMER_UPSTREAMS = 32;
+
     auto operator<=>(const node_record &) const = default;
 
     //! Thread safety of the members below: immutable.
@@ -46,6 +54,8 @@
     {
         return !isHub && entry.state == membership::node_state::Alive;
     }
+    //! Returns true if an upstream of this or a former process has announced that it leaves.
+    [[nodiscard]] auto hasDeparture() const -> bool;
     [[nodiscard]] auto isNewerThan(const node_record &other) const -> bool
     {
         return std::pair(generation, sequence) > std::pair(other.generation, other.sequence);
@@ -114,6 +124,8 @@
     //! True if the sender knows hubs of its region, but reports to one of another region because it
     //! doesn't reach them.
     bool usesDistantHub = false;
+    //! Records with upstreams that left; set if the receiver's directory may be incomplete.
+    std::vector<node_record> knownDepartures = {};
 };
 
 struct report_answer
@@ -134,6 +146,8 @@
     std::uint64_t knownGeneration = 0;
     //! Number of entry nodes whose usage is in the totals.
     std::uint32_t coveredNodeCount = 0;
+    //! True if the directory of the hub has been collected since its start.
+    bool isDirectoryComplete = false;
 };
 
 //! Sent by a hub to each hub of its region and to one hub of each other region.
@@ -158,6 +172,21 @@
     std::optional<base::usage_map> regionUsages;
     //! Number of entry nodes in this sum.
     std::uint32_t regionNodeCount = 0;
+    //! True if the directory of the sender has been collected since its start.
+    bool isDirectoryComplete = false;
+};
+
+//! Asks a hub to store the record of the sender, besides the hub in use.
+struct store_request
+{
+    node_record sender;
+};
+
+//! Version of the receiver's record that the sender holds.
+struct store_answer
+{
+    std::uint64_t generation = 0;
+    std::uint64_t sequence = 0;
 };
 
 //! Pushes a newly committed document to a node.
@@ -185,7 +214,7 @@
 };
 
 using message = std::variant<report, report_answer, sync_request, sync_answer, config_notice,
-                             usage_update, usage_totals>;
+                             usage_update, usage_totals, store_request, store_answer>;
 
 //! Thread safety: pure.
 auto encodeMessage(const message &content) -> std::string;
--- a/src/fleet/recordtable.h
+++ b/src/fleet/recordtable.h
@@ -14,8 +14,10 @@
     //! `bootId` identifies the process: change numbers start again from 1 after a restart.
     explicit record_table(std::uint64_t bootId) : m_bootId(bootId) {}
 
-    //! Stores `record` if it is newer than the stored record of the same node; returns true if it
-    //! was stored.
+    //! Stores `record` if it is newer than the stored record of the same node. Either way, the
+    //! upstreams that former processes of the node published are kept until the node lists them:
+    //! a process that starts can't know what its predecessor acknowledged. Returns true if the
+    //! stored record changed.
     auto merge(const node_record &record) -> bool;
 
     //! Returns the record of a node, or null if the node is unknown. The pointer is valid until
@@ -47,6 +49,9 @@
     //! Returns the records of the live hubs of a region.
     [[nodiscard]] auto aliveHubsIn(const base::region_id &region) const -> std::vector<node_record>;
 
+    //! Returns the records with an upstream that has announced that it leaves.
+    [[nodiscard]] auto departures() const -> std::vector<node_record>;
+
     //! Returns the records in the groups of nodes whose content differs from that of a reader.
     [[nodiscard]] auto differingFrom(const directory_digest &reader) const
             -> std::vector<node_record>;
@@ -85,6 +90,8 @@
         return changes;
     }
 
+    auto store(numbered_record &stored, node_record record) -> void;
+
     [[nodiscard]] auto lastChangeReadBy(const directory_cursor &reader) const -> std::uint64_t
     {
         return contains(reader) ? reader.changeNumber : 0;
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -28,6 +28,13 @@
     std::function<base::usage_map()> changedUsages;
     //! Called with the evidence of crashes in a changed record of another node.
     std::function<void(const std::vector<base::crash_record> &records)> onCrashRecords;
+    //! Called with the upstreams that a former process of this node published. May be called again
+    //! with the same and with further ones.
+    std::function<void(std::vector<membership::upstream_entry> upstreams)> onFormerUpstreams;
+    //! Called once, when the directory of a hub has told all that is known of former processes.
+    std::function<void()> onDirectoryComplete;
+    //! Called when a hub has answered that it stored the record of this node.
+    std::function<void()> onStored;
     //! Called when the hub in use changes; the id is empty if no candidate is known.
     std::function<void(const base::node_id &hub)> onHubChanged;
 };
@@ -64,6 +71,13 @@
     static constexpr base::milliseconds USAGE_UPDATE_INTERVAL{100};
     //! Time limit for the answer to a probe: three round trips between regions.
     static constexpr base::milliseconds PROBE_TIMEOUT{150};
+    //! Interval at which hubs are asked again to store the record of this node.
+    static constexpr base::milliseconds STORE_INTERVAL{100};
+    //! Time for which hubs are asked after the last call of `requestStorage`.
+    static constexpr base::milliseconds STORE_TIMEOUT{1000};
+    //! Number of hubs that must hold a record before it counts as stored: the loss of one of them
+    //! together with this process doesn't lose it.
+    static constexpr std::size_t STORE_COPIES = 2;
     //! Time for which other hubs are preferred to one that failed.
     static constexpr base::milliseconds FAILED_HUB_BACKOFF{3000};
 
@@ -87,10 +101,21 @@
     //! Replaces the nodes that may be hubs.
     auto setContacts(std::vector<base::node_id> contacts) -> void;
 
+    //! Asks hubs to store the current record of the node and returns the first messages; `tick`
+    //! repeats them until the record is stored, for `STORE_TIMEOUT`.
+    auto requestStorage(base::time_point now) -> messages;
+
+    //! Returns true if `STORE_COPIES` hubs, or all known ones if they are fewer, hold the record of
+    //! the node with `sequence` or a later one.
+    [[nodiscard]] auto isStored(std::uint64_t sequence) const -> bool;
+
     [[nodiscard]] auto records() const -> const record_table & { return m_records; }
     [[nodiscard]] auto self() const -> const node_record & { return m_self; }
 
 private:
+    auto advance(base::time_point now) -> messages;
+    auto sendStoreRequests(base::time_point now) -> messages;
+    auto onStoreAnswer(const base::node_id &from, const store_answer &answer) -> void;
     auto onReportAnswer(const base::node_id &from, const report_answer &answer,
                         base::time_point now) -> messages;
     auto applyDocument(const config_document &document) -> void;
@@ -100,6 +125,7 @@
     auto markHubFailed(base::time_point now) -> void;
     auto probeNextHub(base::time_point now) -> messages;
     auto applyAnswer(const report_answer &answer) -> void;
+    auto applyOwnRecord(const node_record &record) -> void;
     [[nodiscard]] auto coverageShare(std::uint32_t coveredNodeCount) const -> double;
     auto switchHub(const base::node_id &hub) -> void;
     [[nodiscard]] auto preferredDeputy(base::time_point now) const -> base::node_id;
@@ -137,6 +163,14 @@
     base::time_point m_probeSentAt;
     //! Hubs already probed in the current round.
     std::set<base::node_id> m_previouslyProbed;
+    bool m_hasCompleteDirectory = false;
+    //! True if the next report tells the hub of departures that it may not know.
+    bool m_mustTellDepartures = false;
+    base::time_point m_storeRequestsEnd;
+    //! Sequence of the own record that each hub has stored.
+    std::map<base::node_id, std::uint64_t> m_storedSequences;
+    base::time_point m_nextStoreRequestAt;
+    std::size_t m_storeRequestRound = 0;
     base::config_version m_configVersion = 0;
     std::uint64_t m_viewVersion = 0;
 };
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -45,6 +45,16 @@
     return entry;
 }
 
+auto makeLeftUpstream(const std::string &id, base::incarnation incarnation)
+        -> membership::upstream_entry
+{
+    auto entry = makeUpstream(id);
+    entry.state = membership::upstream_state::Gone;
+    entry.isLeaving = true;
+    entry.incarnation = incarnation;
+    return entry;
+}
+
 //! Fleet usage from which the only organisation of these tests counts as near its limit.
 constexpr double NEAR_LIMIT_REQUESTS = 100.0;
 
@@ -70,6 +80,10 @@
     base::node_id currentHub;
     //! Newest evidence of crashes that the node has received.
     std::map<std::uint64_t, base::crash_evidence> crashes;
+    //! Upstreams of former processes that the node has been told of.
+    std::vector<membership::upstream_entry> formerUpstreams;
+    //! True if the node has been told all that is known of former processes.
+    bool hasCompleteDirectory = false;
     bool isFresh = true;
 };
 
@@ -124,6 +138,18 @@
                 known = std::max(known, record.evidence);
             }
         };
+        node.formerUpstreams.clear();
+        node.hasCompleteDirectory = false;
+        callbacks.onFormerUpstreams =
+                [&node](const std::vector<membership::upstream_entry> &former) {
+                    node.formerUpstreams.insert(node.formerUpstreams.end(), former.begin(),
+                                                former.end());
+                };
+        callbacks.onDirectoryComplete = [&node] {
+            node.hasCompleteDirectory = true;
+        };
+        callbacks.onStored = [] {
+        };
         callbacks.onHubChanged = [&node](const base::node_id &hub) {
             node.currentHub = hub;
         };
@@ -171,6 +197,16 @@
         m_network.send(nodeIdOf(hub), out);
     }
 
+    //! Returns true if a restarted node has been told that an upstream of its predecessor left.
+    auto hasBeenToldOfDeparture(int index, const std::string &upstream,
+                                base::incarnation incarnation) -> bool
+    {
+        const auto &former = node(index).formerUpstreams;
+        return std::any_of(former.begin(), former.end(), [&](const auto &item) {
+            return item.id.str() == upstream && item.incarnation == incarnation && item.isLeaving;
+        });
+    }
+
     auto upstreamCountSeenBy(int index) -> std::size_t
     {
         return node(index).view->upstreamsOf(base::service_id("s")).size();
@@ -770,3 +806,92 @@
         fleet::decodeMessage(mutated);
     }
 }
+
+// Guards against a process that starts and isn't told which upstreams of its predecessor left.
+TEST(directory, tellsARestartedNodeWhichUpstreamsLeft)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(3000));
+    fleet.node(6).reporter->setUpstreams({makeLeftUpstream("left", 7), makeUpstream("ready")});
+    fleet.run(milliseconds(1000));
+    fleet.startNode(6, false, 2);
+    fleet.run(milliseconds(1500));
+    CHECK(fleet.node(6).hasCompleteDirectory);
+    CHECK(fleet.hasBeenToldOfDeparture(6, "left", 7));
+    CHECK(!fleet.hasBeenToldOfDeparture(6, "ready", 0));
+}
+
+// Guards against the same after the loss of all hubs: the other nodes tell them what they know.
+TEST(directory, tellsARestartedNodeWhichUpstreamsLeftAfterARestartOfAllHubs)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(3000));
+    fleet.node(6).reporter->setUpstreams({makeLeftUpstream("left", 7)});
+    fleet.run(milliseconds(1500));
+    fleet.network().crash(nodeIdOf(6));
+    for (int i = 0; i < 3; ++i) {
+        fleet.startNode(i, true, 2);
+    }
+    fleet.startNode(6, false, 2);
+    fleet.run(milliseconds(6000));
+    CHECK(fleet.node(6).hasCompleteDirectory);
+    CHECK(fleet.hasBeenToldOfDeparture(6, "left", 7));
+}
+
+// Guards against a hub that has just started and answers as if it knew of no departures.
+TEST(directory, hubThatHasJustStartedDoesNotClaimACompleteDirectory)
+{
+    directory_fleet fleet(4, 1, {0});
+    fleet.run(milliseconds(1500));
+    for (int i = 1; i < 4; ++i) {
+        CHECK(!fleet.node(i).hasCompleteDirectory);
+    }
+    fleet.run(milliseconds(2000));
+    for (int i = 1; i < 4; ++i) {
+        CHECK(fleet.node(i).hasCompleteDirectory);
+    }
+}
+
+// Guards against a departure that counts as stored and is forgotten: one node restarts again and
+// again, each time together with a hub, with messages lost and hubs cut off.
+TEST(directory, keepsStoredDeparturesThroughRestarts)
+{
+    constexpr int NODE = 7;
+    constexpr int HUBS = 3;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        base::random_source random(seed);
+        directory_fleet fleet(9, HUBS);
+        fleet.network().setFaults({0.05, 0.05});
+        fleet.run(milliseconds(4000));
+        std::vector<membership::upstream_entry> stored;
+        for (std::uint64_t generation = 2; generation < 12; ++generation) {
+            const auto added = makeLeftUpstream("u" + std::to_string(generation), generation);
+            auto upstreams = stored;
+            upstreams.push_back(added);
+            auto &reporter = *fleet.node(NODE).reporter;
+            reporter.setUpstreams(upstreams);
+            const auto sequence = reporter.self().sequence;
+            fleet.network().send(nodeIdOf(NODE), reporter.requestStorage(fleet.network().now()));
+            for (int i = 0; i < 40 && !reporter.isStored(sequence); ++i) {
+                fleet.run(milliseconds(25));
+            }
+            if (reporter.isStored(sequence)) {
+                stored.push_back(added);
+            }
+            const auto hub = static_cast<int>(random.below(HUBS));
+            fleet.network().crash(nodeIdOf(hub));
+            fleet.network().crash(nodeIdOf(NODE));
+            fleet.run(milliseconds(random.below(600)));
+            fleet.startNode(hub, true, generation);
+            fleet.startNode(NODE, false, generation);
+            fleet.run(milliseconds(3000));
+            for (const auto &departed : stored) {
+                CHECK_TEXT(
+                        fleet.hasBeenToldOfDeparture(NODE, departed.id.str(), departed.incarnation),
+                        ("seed " + std::to_string(seed) + ", upstream " + departed.id.str())
+                                .c_str());
+            }
+        }
+        CHECK(stored.size() >= 8);
+    }
+}
--- a/src/membership/view.h
+++ b/src/membership/view.h
@@ -56,6 +56,8 @@
     bool ejected = false;
     base::incarnation incarnation = 0;
     std::uint64_t sequence = 0;
+    //! True once the upstream has announced that it leaves; final within its incarnation.
+    bool isLeaving = false;
 
     auto operator<=>(const upstream_entry &) const = default;
 };
--- a/src/upstream/internal/announceserver.cpp
+++ b/src/upstream/internal/announceserver.cpp
@@ -91,7 +91,7 @@
         return handlePut(request, name, registry);
     }
     if (request.method() == http::verb::delete_) {
-        return registry.withdraw(name)
+        return registry.withdraw(name, base::clock::now()) == withdraw_result::Withdrawn
                        ? makeAnswer(request, http::status::ok, {})
                        : makeAnswer(request, http::status::not_found, "unknown upstream");
     }
--- a/src/upstream/internal/registry.cpp
+++ b/src/upstream/internal/registry.cpp
@@ -29,8 +29,7 @@
     if (received.incarnation != current.incarnation) {
         return received.incarnation < current.incarnation;
     }
-    const bool draining = current.state == upstream_state::Draining;
-    return withdrawn || (draining && received.state != upstream_state::Draining);
+    return withdrawn || (current.isLeaving && received.state != upstream_state::Draining);
 }
 
 } // namespace
@@ -60,10 +59,11 @@
 
 upstream_registry::upstream_registry(base::node_id node, queue_limit_function queuePerSlot,
                                      change_function onChange, base::milliseconds announcementLife,
-                                     policy::queue_order queueOrder)
+                                     policy::queue_order queueOrder, initial_use use)
     : m_node(std::move(node)), m_queuePerSlot(std::move(queuePerSlot)),
       m_onChange(std::move(onChange)), m_announcementLife(announcementLife),
-      m_queueOrder(queueOrder), m_table(std::make_shared<const upstream_table>())
+      m_queueOrder(queueOrder), m_isUseAllowed(use == initial_use::Allowed),
+      m_table(std::make_shared<const upstream_table>())
 {}
 
 auto upstream_registry::announce(const announcement &received, base::time_point now)
@@ -75,6 +75,10 @@
     if (!hasCapacityFor(isRegistered ? &position->second : nullptr)) {
         return announce_result::Full;
     }
+    const auto withdrawal = m_unknownWithdrawals.find(received.name);
+    if (withdrawal != m_unknownWithdrawals.end() && now < withdrawal->second) {
+        return announce_result::Outdated;
+    }
     if (isRegistered
         && isOutdated(position->second.record->entry, position->second.withdrawn, received)) {
         return announce_result::Outdated;
@@ -90,6 +94,7 @@
     upstream.lastSequence = received.sequence;
     upstream.expiry = now + m_announcementLife;
     upstream.withdrawn = false;
+    upstream.announcedState = received.state;
     if (isRegistered && upstream.record->entry.incarnation != received.incarnation) {
         upstream.usableSlots.reset();
         upstream.probation = false;
@@ -105,13 +110,22 @@
     record.entry.id = base::upstream_id(m_node.str() + "/" + received.name);
     record.entry.service = received.service;
     record.entry.slots = received.slots;
-    record.entry.state = received.state;
+    const bool wasLeaving =
+            record.entry.isLeaving && record.entry.incarnation == received.incarnation;
+    record.entry.isLeaving = wasLeaving || received.state == upstream_state::Draining;
+    record.entry.state = usedState(received.state);
     record.entry.incarnation = received.incarnation;
     record.address = received.address;
     record.name = received.name;
     return record;
 }
 
+auto upstream_registry::usedState(upstream_state announced) const -> upstream_state
+{
+    return announced == upstream_state::Ready && !m_isUseAllowed ? upstream_state::Starting
+                                                                 : announced;
+}
+
 auto upstream_registry::isSuperseded(const announcement &received) const -> bool
 {
     return std::any_of(m_registrations.begin(), m_registrations.end(),
@@ -146,16 +160,77 @@
            && (upstream != nullptr || m_registrations.size() < MAX_REGISTRATIONS);
 }
 
-auto upstream_registry::withdraw(const std::string &name) -> bool
+auto upstream_registry::withdraw(const std::string &name, base::time_point now) -> withdraw_result
 {
     const std::lock_guard lock(m_mutex);
     const auto position = m_registrations.find(name);
     if (position == m_registrations.end()) {
-        return false;
+        if (m_unknownWithdrawals.size() < MAX_REGISTRATIONS) {
+            m_unknownWithdrawals[name] = now + UNKNOWN_WITHDRAWAL_LIFE;
+        }
+        return withdraw_result::Unknown;
     }
     position->second.withdrawn = true;
-    markGone(position->second);
-    return true;
+    markLeft(position->second);
+    return withdraw_result::Withdrawn;
+}
+
+auto upstream_registry::restore(const std::vector<membership::upstream_entry> &former,
+                                base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &entry : former) {
+        restoreEntry(entry, now);
+    }
+}
+
+auto upstream_registry::restoreEntry(const membership::upstream_entry &former, base::time_point now)
+        -> void
+{
+    const auto prefix = m_node.str() + "/";
+    if (!former.id.str().starts_with(prefix)) {
+        return;
+    }
+    const auto name = former.id.str().substr(prefix.size());
+    const bool isWithdrawn = m_unknownWithdrawals.erase(name) > 0;
+    const auto position = m_registrations.find(name);
+    const bool isRegistered = position != m_registrations.end();
+    if (isRegistered && position->second.record->entry.incarnation > former.incarnation) {
+        return;
+    }
+    if (!isRegistered && m_registrations.size() >= MAX_REGISTRATIONS) {
+        return;
+    }
+    auto &upstream = m_registrations[name];
+    const bool isKnown = isRegistered && upstream.record->entry.incarnation == former.incarnation;
+    if (!isKnown) {
+        upstream.withdrawn = false;
+        upstream.lastSequence = 0;
+        upstream.expiry = now;
+        upstream_record record{former, {}, name};
+        record.entry.state = upstream_state::Gone;
+        storeRecord(upstream, std::move(record));
+    }
+    if (isWithdrawn) {
+        upstream.withdrawn = true;
+    }
+    const bool isDraining = upstream.record->entry.state == upstream_state::Draining;
+    if (isWithdrawn || (former.isLeaving && !isDraining)) {
+        markLeft(upstream);
+    }
+}
+
+auto upstream_registry::allowUse() -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_isUseAllowed = true;
+    for (auto &[name, upstream] : m_registrations) {
+        if (isLive(*upstream.record)) {
+            auto next = *upstream.record;
+            next.entry.state = usedState(upstream.announcedState);
+            storeRecord(upstream, std::move(next));
+        }
+    }
 }
 
 auto upstream_registry::expire(base::time_point now) -> void
@@ -166,6 +241,7 @@
             markGone(upstream);
         }
     }
+    std::erase_if(m_unknownWithdrawals, [now](const auto &item) { return item.second <= now; });
     std::erase_if(m_registrations, [now](const auto &item) {
         return !isLive(*item.second.record) && item.second.expiry + GONE_RETENTION <= now;
     });
@@ -254,6 +330,14 @@
     storeRecord(upstream, std::move(gone));
 }
 
+auto upstream_registry::markLeft(registration &upstream) -> void
+{
+    auto left = *upstream.record;
+    left.entry.isLeaving = true;
+    left.entry.state = upstream_state::Gone;
+    storeRecord(upstream, std::move(left));
+}
+
 auto upstream_registry::publish() -> void
 {
     for (const auto &[name, upstream] : m_registrations) {
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -23,7 +23,7 @@
     : m_contexts(std::move(contexts)),
       m_registry(dependencies.node, queueLimitFunction(dependencies.configuration),
                  dependencies.onUpstreamsChanged, dependencies.announcementLife,
-                 dependencies.queueOrder)
+                 dependencies.queueOrder, dependencies.use)
 {
     if (!announceAddress.address.empty()) {
         m_announceServer.emplace(*m_contexts.front(), announceAddress, m_registry);
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -75,12 +75,27 @@
 enum class announce_result : std::uint8_t {
     Accepted,
     //! The announcement is delayed, has an older incarnation than a known one, or would undo a
-    //! drain or withdrawal of the same incarnation.
+    //! drain or withdrawal of the same incarnation, also one that a former process acknowledged.
     Outdated,
     //! The maximum number of upstreams on this host is reached.
     Full,
 };
 
+//! Result of a withdrawal.
+enum class withdraw_result : std::uint8_t {
+    Withdrawn,
+    //! No upstream of this name is known. Announcements under the name are rejected for
+    //! `upstream_registry::UNKNOWN_WITHDRAWAL_LIFE`.
+    Unknown,
+};
+
+//! Whether upstreams may be used from the start of the node.
+enum class initial_use : std::uint8_t {
+    Allowed,
+    //! Only after `allowUse`: a former process of the node may have acknowledged departures.
+    Withheld,
+};
+
 //! Registry of the upstreams that announced themselves to this node. Expires announcements, rejects
 //! outdated ones and updates the queues of the services.
 //! Thread safety of all members: any thread.
@@ -92,6 +107,10 @@
     //! Maximum number of live upstreams; bounds the memory that a faulty process can cause.
     static constexpr std::size_t MAX_UPSTREAMS = 256;
 
+    //! Time for which announcements under the name of an unknown upstream that was withdrawn are
+    //! rejected. Longer than an announcement may be delayed.
+    static constexpr base::milliseconds UNKNOWN_WITHDRAWAL_LIFE{30'000};
+
     //! Called with all entries after each change, in the order of the changes and never
     //! concurrently.
     using change_function =
@@ -102,7 +121,8 @@
     upstream_registry(base::node_id node, queue_limit_function queuePerSlot,
                       change_function onChange,
                       base::milliseconds announcementLife = ANNOUNCEMENT_LIFE,
-                      policy::queue_order queueOrder = policy::queue_order::FairShare);
+                      policy::queue_order queueOrder = policy::queue_order::FairShare,
+                      initial_use use = initial_use::Allowed);
 
     //! Records an announcement. Within one incarnation `Draining` and a withdrawal are final, but
     //! an upstream whose announcement expired may announce itself again. If another upstream has
@@ -110,8 +130,18 @@
     //! equal incarnations the later announcement wins.
     auto announce(const announcement &received, base::time_point now) -> announce_result;
 
-    //! Marks an upstream as withdrawn and gone. Returns false if it is unknown.
-    auto withdraw(const std::string &name) -> bool;
+    //! Marks an upstream as withdrawn and gone.
+    auto withdraw(const std::string &name, base::time_point now) -> withdraw_result;
+
+    //! Takes over what former processes of the node published: an incarnation that announced that
+    //! it leaves is marked as gone or, if it announces itself later, rejected, and so is an older
+    //! one. Idempotent.
+    auto restore(const std::vector<membership::upstream_entry> &former, base::time_point now)
+            -> void;
+
+    //! Allows the use of upstreams, which are published as `Starting` until then if the registry
+    //! was created with `initial_use::Withheld`.
+    auto allowUse() -> void;
 
     //! Marks upstreams with expired announcements as gone. Call at least every 250 ms.
     auto expire(base::time_point now) -> void;
@@ -134,6 +164,7 @@
         base::time_point expiry;
         std::uint64_t lastSequence = 0;
         bool withdrawn = false;
+        membership::upstream_state announcedState = membership::upstream_state::Starting;
         // Limit set by the policy; without one all announced slots may be used.
         std::optional<std::uint32_t> usableSlots;
         bool probation = false;
@@ -144,10 +175,15 @@
     [[nodiscard]] auto isSuperseded(const announcement &received) const -> bool;
     // Marks other upstreams with the same address as withdrawn and gone.
     auto removeOthersAtAddress(const announcement &received) -> void;
+    auto restoreEntry(const membership::upstream_entry &former, base::time_point now) -> void;
+    [[nodiscard]] auto usedState(membership::upstream_state announced) const
+            -> membership::upstream_state;
     [[nodiscard]] auto makeRecord(upstream_record record, const announcement &received) const
             -> upstream_record;
     auto storeRecord(registration &upstream, upstream_record next) -> void;
     auto markGone(registration &upstream) -> void;
+    //! Marks an upstream as gone because it has announced that it leaves.
+    auto markLeft(registration &upstream) -> void;
     auto updateQueue(const registration &upstream) -> void;
     auto publish() -> void;
     [[nodiscard]] auto collectEntries() const -> std::vector<membership::upstream_entry>;
@@ -159,6 +195,9 @@
     policy::queue_order m_queueOrder;
     mutable std::mutex m_mutex;
     std::map<std::string, registration> m_registrations;
+    //! Withdrawn names without a registration, each with the time until which they are rejected.
+    std::map<std::string, base::time_point> m_unknownWithdrawals;
+    bool m_isUseAllowed;
     queue_map m_queues;
     // Never reset, so that an upstream that announces itself again after it was gone gets a higher
     // sequence than before.
--- a/src/upstream/upstreamservice.h
+++ b/src/upstream/upstreamservice.h
@@ -26,6 +26,7 @@
     executor_options options = {};
     base::milliseconds announcementLife = upstream_registry::ANNOUNCEMENT_LIFE;
     policy::queue_order queueOrder = policy::queue_order::FairShare;
+    initial_use use = initial_use::Allowed;
 };
 
 //! Owns the objects of the upstream module: registry, announce endpoint and one executor for each
--- a/tests/support/meshfleet.cpp
+++ b/tests/support/meshfleet.cpp
@@ -4,6 +4,7 @@
 #include "webapi/client.h"
 
 #include <algorithm>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +26,8 @@
 constexpr std::uint16_t UPSTREAM_PORT = 7704;
 constexpr std::chrono::milliseconds HEARTBEAT_INTERVAL{500};
 constexpr int FIRST_HOST = 10;
+//! Time within which the platform expects the answer to a heartbeat.
+constexpr std::chrono::milliseconds ACKNOWLEDGEMENT_TIMEOUT{1000};
 
 } // namespace
 
@@ -171,9 +174,44 @@
             {nameOf(from), ip(to), FromTarget, faultproxy::fault_kind::Cut, 0}};
 }
 
+auto mesh_fleet::upstreamBeside(int node) -> stand_in_upstream &
+{
+    return m_upstreams.at(static_cast<std::size_t>(node - m_size.cores));
+}
+
+auto mesh_fleet::upstreamPath(int node) -> std::string
+{
+    return "/instances/" + nameOf(node) + "-"
+           + std::to_string(upstreamBeside(node).startTime.load());
+}
+
+auto mesh_fleet::setHeartbeats(int node, bool areSent) -> void
+{
+    upstreamBeside(node).sendsHeartbeats = areSent;
+}
+
+auto mesh_fleet::sendHeartbeat(int node, const std::string &state, std::uint64_t sequenceNo)
+        -> unsigned
+{
+    const auto body = messages::heartbeat("work", {ip(node), UPSTREAM_PORT},
+                                          upstreamBeside(node).startTime, sequenceNo, state);
+    const auto answer =
+            webapi::call(controlAddress(node), {"PUT", upstreamPath(node), {}, {}, body},
+                         ACKNOWLEDGEMENT_TIMEOUT);
+    return answer ? answer->status : 0;
+}
+
+auto mesh_fleet::withdrawUpstream(int node) -> unsigned
+{
+    const auto answer =
+            webapi::call(controlAddress(node), {"DELETE", upstreamPath(node), {}, {}, {}},
+                         ACKNOWLEDGEMENT_TIMEOUT);
+    return answer ? answer->status : 0;
+}
+
 auto mesh_fleet::startUpstream(int node) -> void
 {
-    auto &upstream = m_upstreams.at(static_cast<std::size_t>(node - m_size.cores));
+    auto &upstream = upstreamBeside(node);
     upstream.server = std::make_unique<webapi::server>(
             m_upstreamContext, membership::endpoint{ip(node), UPSTREAM_PORT},
             webapi::server_limits{}, [this, node](webapi::request incoming) {
@@ -184,13 +222,15 @@
 
 auto mesh_fleet::crashUpstream(int node, base::milliseconds downTime) -> void
 {
-    auto &upstream = m_upstreams.at(static_cast<std::size_t>(node - m_size.cores));
-    if (upstream.startTime.exchange(0) == 0) {
-        return;
-    }
-    upstream.server.reset();
-    auto timer = std::make_shared<boost::asio::steady_timer>(m_upstreamContext, downTime);
-    timer->async_wait([this, node, timer](const auto & /*failure*/) { startUpstream(node); });
+    boost::asio::dispatch(m_upstreamContext, [this, node, downTime] {
+        auto &upstream = upstreamBeside(node);
+        if (upstream.startTime.exchange(0) == 0) {
+            return;
+        }
+        upstream.server.reset();
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_upstreamContext, downTime);
+        timer->async_wait([this, node, timer](const auto & /*failure*/) { startUpstream(node); });
+    });
 }
 
 auto mesh_fleet::registerUpstreams() -> void
@@ -198,14 +238,12 @@
     static std::uint64_t number = 0;
     ++number;
     for (int node = m_size.cores; node < size(); ++node) {
-        const auto startTime =
-                m_upstreams.at(static_cast<std::size_t>(node - m_size.cores)).startTime.load();
-        if (startTime == 0) {
+        const auto startTime = upstreamBeside(node).startTime.load();
+        if (startTime == 0 || !upstreamBeside(node).sendsHeartbeats) {
             continue;
         }
         const auto body = messages::heartbeat("work", {ip(node), UPSTREAM_PORT}, startTime, number);
-        const auto name = nameOf(node) + "-" + std::to_string(startTime);
-        (void)webapi::call(controlAddress(node), {"PUT", "/instances/" + name, {}, {}, body},
+        (void)webapi::call(controlAddress(node), {"PUT", upstreamPath(node), {}, {}, body},
                            base::milliseconds(200));
     }
 }
--- a/tests/support/meshfleet.h
+++ b/tests/support/meshfleet.h
@@ -57,9 +57,18 @@
 
     //! Ends the upstream beside a node: its connections are closed and its port refuses new ones
     //! for `downTime`; then a new incarnation with another name starts.
-    //! Thread safety: the thread of the upstreams.
+    //! Thread safety: any thread; on that of the upstreams, the end is immediate.
     auto crashUpstream(int node, base::milliseconds downTime) -> void;
 
+    //! Sends the regular heartbeats of the upstream beside a node, as at the start, or none.
+    auto setHeartbeats(int node, bool areSent) -> void;
+    //! Sends a heartbeat of the upstream beside a node; returns the status of the answer, or 0 if
+    //! there is none.
+    auto sendHeartbeat(int node, const std::string &state, std::uint64_t sequenceNo) -> unsigned;
+    //! Withdraws the upstream beside a node; returns the status of the answer, or 0 if there is
+    //! none.
+    auto withdrawUpstream(int node) -> unsigned;
+
     //! Replaces the faults of the relay.
     auto setFaults(std::vector<faultproxy::rule> rules) -> void;
     //! Cuts the traffic from one node to another.
@@ -71,12 +80,15 @@
         std::unique_ptr<webapi::server> server;
         //! Time of the start, which also names the incarnation; 0 while the upstream is down.
         std::atomic<std::uint64_t> startTime{0};
+        std::atomic<bool> sendsHeartbeats{true};
     };
 
     [[nodiscard]] auto ip(int node) const -> std::string;
     [[nodiscard]] auto nameOf(int node) const -> std::string;
     auto writeSettings(int node) -> void;
     auto startUpstream(int node) -> void;
+    auto upstreamBeside(int node) -> stand_in_upstream &;
+    auto upstreamPath(int node) -> std::string;
     auto registerUpstreams() -> void;
 
     std::string m_binary;
