Recognise the current process of a node without comparing clocks

Cause: control_runtime refused datagrams of a lower incarnation than it had heard of the sender, and the incarnation is the wall clock at the start. After a step back, every peer refused the restarted node until its clock had caught up; only messages over 1,200 bytes, which go over a link, got through. The counter of refused datagrams named neither sender nor cause.

Ruled out: the generation of directory records, which the answer to a report raises above the known one.

Change: a datagram of another incarnation than the known one is held for up to 0.5 s and the node is challenged. The process that answers is the current one. Refused datagrams are logged with sender and both incarnations.

The clock is stepped by a small preloaded library in tests/.

--- a/src/base/message.h
+++ b/src/base/message.h
@@ -25,6 +25,8 @@
     Baseline = 11,
     Quorum = 12,
     Directory = 13,
+    //! Used by the control runtime itself.
+    Liveness = 14,
 };
 
 //! Control message that a protocol component returns to the control runtime, which sends it to
--- a/src/peer/internal/datagram.cpp
+++ b/src/peer/internal/datagram.cpp
@@ -67,4 +67,19 @@
                     bytes.substr(DATAGRAM_HEADER_BYTES + nameBytes)};
 }
 
+auto encodeLiveness(const liveness_message &content) -> std::string
+{
+    std::string payload(1, content.isProof ? '\1' : '\0');
+    appendUint64(payload, content.nonce);
+    return payload;
+}
+
+auto decodeLiveness(std::string_view payload) -> std::optional<liveness_message>
+{
+    if (payload.size() != 1 + sizeof(std::uint64_t)) {
+        return std::nullopt;
+    }
+    return liveness_message{payload.front() != '\0', readUint64(payload.substr(1))};
+}
+
 } // namespace hawthornpick::peer
--- a/src/peer/internal/datagram.h
+++ b/src/peer/internal/datagram.h
@@ -23,6 +23,22 @@
 //! incarnation, channel, length of the name.
 inline constexpr std::size_t DATAGRAM_HEADER_BYTES = 1 + 16 + 8 + 1 + 1;
 
+//! Asks a node to prove which of its processes is the current one, or answers that with the same
+//! nonce. The incarnation is that of the datagram.
+struct liveness_message
+{
+    bool isProof = false;
+    std::uint64_t nonce = 0;
+
+    auto operator<=>(const liveness_message &) const = default;
+};
+
+//! Encodes the payload of a datagram of the channel `Liveness`. Thread safety: pure.
+auto encodeLiveness(const liveness_message &content) -> std::string;
+
+//! Returns nothing if the payload is malformed. Thread safety: pure.
+auto decodeLiveness(std::string_view payload) -> std::optional<liveness_message>;
+
 //! Encodes and authenticates a datagram. The authentication tag covers the receiver's name, so that
 //! a datagram replayed to another node is refused. Precondition: the sender's name is at most 255
 //! bytes. Thread safety: pure.
--- a/src/peer/internal/runtime.cpp
+++ b/src/peer/internal/runtime.cpp
@@ -1,7 +1,9 @@
 #include "peer/runtime.h"
 
 #include "base/log.h"
+#include "base/random.h"
 #include "peer/internal/datagram.h"
+#include "peer/internal/incarnationguard.h"
 
 #include <array>
 #include <boost/asio/ip/address.hpp>
@@ -23,6 +25,8 @@
 constexpr std::size_t RECEIVE_BUFFER_BYTES = 2048;
 //! Large enough to hold the datagrams of many nodes while the control thread is busy.
 constexpr int KERNEL_RECEIVE_BUFFER_BYTES = 1024 * 1024;
+//! Least time between log lines about refused datagrams of one sender.
+constexpr base::milliseconds REFUSAL_LOG_INTERVAL{10'000};
 
 auto openDatagramSocket(asio::io_context &context, const membership::endpoint &address)
         -> udp::socket
@@ -48,6 +52,7 @@
                           control_runtime::resolve_function resolve, base::metrics &metrics)
         : m_context(context), m_identity(std::move(identity)), m_resolve(std::move(resolve)),
           m_socket(openDatagramSocket(context, bindAddress)), m_tickTimer(context),
+          m_incarnations(base::systemSeed()),
           m_sentDatagrams(
                   metrics.counter("control_datagrams_sent_total", "Control datagrams sent")),
           m_sentBytes(metrics.counter("control_bytes_sent_total",
@@ -61,6 +66,9 @@
           m_refusedDatagrams(metrics.counter("control_datagrams_refused_total",
                                              "Control datagrams refused: malformed, wrong "
                                              "authentication tag or outdated incarnation")),
+          m_challenges(metrics.counter("control_challenges_sent_total",
+                                       "Challenges sent to nodes of which another incarnation "
+                                       "than the known one was heard")),
           m_unsentMessages(metrics.counter("control_messages_unsent_total",
                                            "Control messages not sent: address unknown or invalid, "
                                            "or datagram refused by the system"))
@@ -154,13 +162,19 @@
             m_linkPool->sendMessage(message.to, *address, message.kind, message.payload);
             return;
         }
-        const auto bytes = encodeDatagram(
-                m_identity.fleetSecret, message.to,
-                {m_identity.node, m_identity.incarnation, message.kind, message.payload});
+        sendDatagram(message.to, *address, message.kind, message.payload);
+    }
+
+    auto sendDatagram(const base::node_id &to, const membership::endpoint &address,
+                      base::channel channel, std::string_view payload) -> void
+    {
+        const auto bytes =
+                encodeDatagram(m_identity.fleetSecret, to,
+                               {m_identity.node, m_identity.incarnation, channel, payload});
         boost::system::error_code error;
-        const auto ip = asio::ip::make_address(address->address, error);
+        const auto ip = asio::ip::make_address(address.address, error);
         if (!error) {
-            m_socket.send_to(asio::buffer(bytes), {ip, address->port}, 0, error);
+            m_socket.send_to(asio::buffer(bytes), {ip, address.port}, 0, error);
         }
         if (error) {
             m_unsentMessages.Increment();
@@ -191,25 +205,85 @@
     auto handleDatagram(std::string_view bytes) -> void
     {
         const auto content = decodeDatagram(m_identity.fleetSecret, m_identity.node, bytes);
-        if (!content || !acceptIncarnation(*content)) {
+        if (!content) {
             m_refusedDatagrams.Increment();
             return;
         }
-        m_receivedDatagrams.Increment();
-        m_receivedBytes.Increment(static_cast<double>(bytes.size()));
+        if (content->channel == base::channel::Liveness) {
+            handleLiveness(*content);
+            return;
+        }
+        if (!m_incarnations.isCurrent(content->from, content->incarnation)) {
+            hold(*content);
+            return;
+        }
+        countReceived(bytes.size());
         dispatch(content->from, content->channel, content->payload);
     }
 
-    //! Records the newest incarnation of each sender. Returns false for an older one: a datagram of
-    //! the sender's previous process may arrive after one of its new process.
-    auto acceptIncarnation(const datagram &content) -> bool
+    auto countReceived(std::size_t size) -> void
+    {
+        m_receivedDatagrams.Increment();
+        m_receivedBytes.Increment(static_cast<double>(size));
+    }
+
+    auto hold(const datagram &content) -> void
     {
-        auto &newestIncarnation = m_newestIncarnations[content.from];
-        if (content.incarnation < newestIncarnation) {
-            return false;
+        const auto nonce = m_incarnations.hold(
+                {content.from, content.incarnation, content.channel, std::string(content.payload)},
+                base::clock::now());
+        if (nonce) {
+            m_challenges.Increment();
+            sendLiveness(content.from, {false, *nonce});
+        }
+    }
+
+    auto sendLiveness(const base::node_id &to, const liveness_message &content) -> void
+    {
+        const auto address = m_resolve(to);
+        if (!address) {
+            m_unsentMessages.Increment();
+            return;
+        }
+        sendDatagram(to, *address, base::channel::Liveness, encodeLiveness(content));
+    }
+
+    //! Answers a challenge, or releases the datagrams of the process that answered one.
+    auto handleLiveness(const datagram &content) -> void
+    {
+        const auto message = decodeLiveness(content.payload);
+        if (!message) {
+            m_refusedDatagrams.Increment();
+            return;
+        }
+        if (!message->isProof) {
+            sendLiveness(content.from, {true, message->nonce});
+            return;
+        }
+        const auto released =
+                m_incarnations.onProof(content.from, content.incarnation, message->nonce);
+        refuse(released.refused);
+        for (const auto &item : released.accepted) {
+            countReceived(item.payload.size());
+            dispatch(item.from, item.channel, item.payload);
+        }
+    }
+
+    auto refuse(const std::vector<held_datagram> &items) -> void
+    {
+        const auto now = base::clock::now();
+        for (const auto &item : items) {
+            m_refusedDatagrams.Increment();
+            auto &nextLogAt = m_nextRefusalLogAt[item.from];
+            if (now < nextLogAt) {
+                continue;
+            }
+            nextLogAt = now + REFUSAL_LOG_INTERVAL;
+            base::log(base::log_level::Warning, "datagrams of a former process refused",
+                      {{"sender", item.from.str()},
+                       {"incarnation", item.incarnation},
+                       {"known_incarnation", m_incarnations.knownIncarnation(item.from)}});
         }
-        newestIncarnation = content.incarnation;
-        return true;
     }
 
     auto dispatch(const base::node_id &from, base::channel channel, std::string_view payload)
@@ -233,6 +307,7 @@
     auto tick() -> void
     {
         const auto now = base::clock::now();
+        refuse(m_incarnations.expire(now));
         for (const auto &tickFunction : m_tickFunctions) {
             send(tickFunction(now));
         }
@@ -254,13 +329,15 @@
     std::map<base::channel, control_runtime::receive_function> m_receivers;
     std::vector<control_runtime::tick_function> m_tickFunctions;
     std::function<void(const base::outgoing_message &message)> m_observeSent;
-    std::unordered_map<base::node_id, base::incarnation> m_newestIncarnations;
+    incarnation_guard m_incarnations;
+    std::unordered_map<base::node_id, base::time_point> m_nextRefusalLogAt;
     prometheus::Counter &m_sentDatagrams;
     prometheus::Counter &m_sentBytes;
     prometheus::Counter &m_receivedDatagrams;
     prometheus::Counter &m_receivedBytes;
     prometheus::Counter &m_sentLinkMessages;
     prometheus::Counter &m_refusedDatagrams;
+    prometheus::Counter &m_challenges;
     prometheus::Counter &m_unsentMessages;
 };
 
--- a/src/peer/tests/runtimetest.cpp
+++ b/src/peer/tests/runtimetest.cpp
@@ -145,6 +145,44 @@
     CHECK_EQUAL(1U, received.size());
 }
 
+// Guards against a process that is never heard because its host's clock was set back before its
+// start.
+TEST(runtime_test, datagramsOfASuccessorWithALowerIncarnationAreAccepted)
+{
+    asio::io_context context;
+    base::metrics metrics;
+    const membership::endpoint receiverAddress{"127.0.0.1", unusedPort(context)};
+    const membership::endpoint senderAddress{"127.0.0.1", unusedPort(context)};
+    const auto resolve = [&](const base::node_id &node) {
+        return std::optional(node.str() == "receiver" ? receiverAddress : senderAddress);
+    };
+    const auto makeRuntime = [&](const std::string &name, base::incarnation incarnation,
+                                 const membership::endpoint &address) {
+        return std::make_unique<control_runtime>(
+                context, link_identity{base::node_id(name), incarnation, "fleet secret", ""},
+                address, resolve, metrics);
+    };
+    const auto receiver = makeRuntime("receiver", 1, receiverAddress);
+    std::vector<std::string> received;
+    receiver->onMessage(base::channel::Lease,
+                        [&](const base::node_id &, std::string_view payload,
+                            base::time_point) -> control_runtime::messages {
+                            received.emplace_back(payload);
+                            return {};
+                        });
+    receiver->start();
+    auto sender = makeRuntime("sender", 900, senderAddress);
+    sender->start();
+    sender->send({toReceiver("former")});
+    CHECK_TRUE(runUntil(context, [&] { return received.size() == 1; }));
+    sender.reset();
+    sender = makeRuntime("sender", 20, senderAddress);
+    sender->start();
+    sender->send({toReceiver("current")});
+    CHECK_TRUE(runUntil(context, [&] { return received.size() == 2; }));
+    STRCMP_EQUAL("current", received.back().c_str());
+}
+
 // Guards against posted tasks that are lost, and against ticks that stop.
 TEST(runtime_test, ticksRepeatAndPostedTasksOfOtherThreadsRun)
 {
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -10,7 +10,7 @@
 namespace hawthornpick::testsupport {
 
 child_process::child_process(const std::string &binary, const std::vector<std::string> &arguments,
-                             const std::filesystem::path &log)
+                             const std::filesystem::path &log, std::vector<std::string> variables)
 {
     std::vector<std::string> words{binary};
     words.insert(words.end(), arguments.begin(), arguments.end());
@@ -19,6 +19,14 @@
         pointers.push_back(word.data());
     }
     pointers.push_back(nullptr);
+    std::vector<char *> environment;
+    for (auto &variable : variables) {
+        environment.push_back(variable.data());
+    }
+    for (auto **variable = environ; *variable != nullptr; ++variable) {
+        environment.push_back(*variable);
+    }
+    environment.push_back(nullptr);
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     for (const int stream : {STDOUT_FILENO, STDERR_FILENO}) {
@@ -27,8 +35,8 @@
     }
     // Inherited listening sockets would keep the ports of stand-ins open after their end.
     posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-    const int failure =
-            posix_spawn(&m_id, binary.c_str(), &actions, nullptr, pointers.data(), environ);
+    const int failure = posix_spawn(&m_id, binary.c_str(), &actions, nullptr, pointers.data(),
+                                    environment.data());
     posix_spawn_file_actions_destroy(&actions);
     if (failure != 0) {
         throw std::system_error(failure, std::generic_category(), binary);
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -13,9 +13,10 @@
 class child_process
 {
 public:
-    //! Starts `binary`; both output streams are appended to `log`. Throws std::system_error.
+    //! Starts `binary`; both output streams are appended to `log`. `variables` ("NAME=value") are
+    //! added to the environment. Throws std::system_error.
     child_process(const std::string &binary, const std::vector<std::string> &arguments,
-                  const std::filesystem::path &log);
+                  const std::filesystem::path &log, std::vector<std::string> variables = {});
     ~child_process();
     child_process(const child_process &) = delete;
     auto operator=(const child_process &) -> child_process & = delete;
--- a/tests/support/meshfleet.cpp
+++ b/tests/support/meshfleet.cpp
@@ -129,14 +129,21 @@
     }
 }
 
-auto mesh_fleet::start(int node) -> void
+auto mesh_fleet::start(int node, base::milliseconds wallClockStep) -> void
 {
     const auto index = static_cast<std::size_t>(node);
     writeSettings(node);
     m_hasStarted.at(index) = true;
     const auto settings = "--settings=" + (m_folder / (nameOf(node) + ".ini")).string();
+    std::vector<std::string> variables;
+    if (wallClockStep.count() != 0) {
+        const auto library = std::filesystem::path(m_binary).parent_path()
+                             / "tests/mesh/libhawthornpick_stepped_clock.so";
+        variables = {"LD_PRELOAD=" + library.string(),
+                     "HAWTHORNPICK_TEST_CLOCK_STEP_MS=" + std::to_string(wallClockStep.count())};
+    }
     m_processes.at(index).emplace(m_binary, std::vector<std::string>{"mesh", settings},
-                                  m_folder / (nameOf(node) + ".log"));
+                                  m_folder / (nameOf(node) + ".log"), std::move(variables));
 }
 
 auto mesh_fleet::signal(int node, int number) -> void
--- a/tests/support/meshfleet.h
+++ b/tests/support/meshfleet.h
@@ -49,7 +49,8 @@
     [[nodiscard]] auto callerAddress(int node) const -> membership::endpoint;
     [[nodiscard]] auto controlAddress(int node) const -> membership::endpoint;
 
-    auto start(int node) -> void;
+    //! Starts a node, with its wall clock apart from that of the machine.
+    auto start(int node, base::milliseconds wallClockStep = base::milliseconds(0)) -> void;
     auto signal(int node, int number) -> void;
     auto isRunning(int node) -> bool;
     //! Kills a process and waits for its end.
