Shorten the time in which restarted nodes use no upstream

Cause: after a restart of the whole fleet no node knows of departures, and every upstream stayed unused for the 2 s in which hubs collected them.

Change: a node with a complete directory tells a hub that has just started at once, which makes the hub's directory complete. Without one, the time is 0.7 s: one report interval and the exchange between hubs. Nodes that wait report every 150 ms.

--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -57,9 +57,9 @@
     //! A committed document is pushed to the nodes whose last report is at most this old.
     static constexpr base::milliseconds PUSH_MAX_REPORT_AGE{2000};
 
-    //! Time after its start in which a hub collects the directory, unless a hub with a complete one
-    //! answers earlier: each node reports four times.
-    static constexpr base::milliseconds DIRECTORY_COLLECTION_TIME{2000};
+    //! Time after its start in which a hub collects the directory, unless a hub or a node with a
+    //! complete one tells it earlier: one report interval and the exchange between hubs.
+    static constexpr base::milliseconds DIRECTORY_COLLECTION_TIME{700};
 
     //! Interval at which changed usage is sent to the other hubs of the region, and totals near a
     //! limit to nodes. Short, because an organisation that suddenly sends many times its usual load
@@ -180,7 +180,8 @@
     std::map<base::region_id, region_state> m_otherRegions;
     config_document m_document;
     std::optional<base::time_point> m_firstTickAt;
-    //! True once a hub with a complete directory has sent the changes of it.
+    //! True once a hub with a complete directory has sent its changes, or a node the departures
+    //! that it knows.
     bool m_hasCompleteDirectory = false;
     base::time_point m_nextSyncAt;
     //! Organisations whose usage at the nodes of this hub changed since it was sent to other hubs.
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -60,6 +60,8 @@
   8: bool distant
   // Records with upstreams that left; sent to a hub whose directory may be incomplete.
   9: optional list<node_record> known_departures
+  // True if these are all that a complete directory contains.
+  10: optional bool tells_departures
 }
 
 struct report_answer {
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -108,6 +108,7 @@
     }
     m_records.merge(content.sender);
     mergeDepartures(content.knownDepartures);
+    m_hasCompleteDirectory = m_hasCompleteDirectory || content.tellsDepartures;
     m_reporters[from] = {now, content.usages};
     answer.records = nearerHubsFor(content);
     if (answer.records.empty()) {
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -268,6 +268,9 @@
         if (!content.knownDepartures.empty()) {
             encoded.__set_known_departures(toWire(content.knownDepartures));
         }
+        if (content.tellsDepartures) {
+            encoded.__set_tells_departures(true);
+        }
         out.__set_node_report(encoded);
     }
     auto operator()(const report_answer &content) const -> void
@@ -447,7 +450,8 @@
                       encoded.probe,
                       digestFromWire(encoded.__isset.directory_digest, encoded.directory_digest),
                       encoded.distant,
-                      fromWire(encoded.known_departures)};
+                      fromWire(encoded.known_departures),
+                      encoded.tells_departures};
     }
     if (decoded->__isset.answer) {
         return reportAnswerFromWire(decoded->answer);
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -265,7 +265,12 @@
     supersede(answer.knownGeneration);
     // Without a position, the answer doesn't contain the directory.
     const bool hasDirectory = answer.cursor.bootId != 0;
-    m_mustTellDepartures = hasDirectory && !answer.isDirectoryComplete;
+    if (hasDirectory && !answer.isDirectoryComplete && !m_usesDeputy) {
+        // A node that knows the departures tells them at once; the others wait for those that do.
+        m_mustTellDepartures = m_hasCompleteDirectory;
+        m_nextReportAt = m_hasCompleteDirectory ? m_reportSentAt
+                                                : m_reportSentAt + INCOMPLETE_REPORT_INTERVAL;
+    }
     if (hasDirectory && answer.isDirectoryComplete
         && !std::exchange(m_hasCompleteDirectory, true)) {
         m_callbacks.onDirectoryComplete();
@@ -320,6 +325,7 @@
     m_reportedAsDistant = nodeReport.usesDistantHub;
     if (std::exchange(m_mustTellDepartures, false) && !m_usesDeputy) {
         nodeReport.knownDepartures = m_records.departures();
+        nodeReport.tellsDepartures = true;
     }
     return {toOutgoingMessage(m_hub, nodeReport)};
 }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -126,6 +126,8 @@
     bool usesDistantHub = false;
     //! Records with upstreams that left; set if the receiver's directory may be incomplete.
     std::vector<node_record> knownDepartures = {};
+    //! True if these are all that a complete directory contains.
+    bool tellsDepartures = false;
 };
 
 struct report_answer
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -59,6 +59,8 @@
 
     //! Upper bound on the delay until a node learns of a version whose push it missed.
     static constexpr base::milliseconds REPORT_INTERVAL{500};
+    //! Interval of reports of a node that has just started to a hub that has as well.
+    static constexpr base::milliseconds INCOMPLETE_REPORT_INTERVAL{150};
     //! Covers one round trip between regions and a scheduling delay of the hub.
     static constexpr base::milliseconds ANSWER_TIMEOUT{400};
     //! Consecutive unanswered reports after which a hub counts as failed; tolerates the loss of one
