--- /dev/null
+++ b/tests/mesh/changingfleet.cpp
@@ -0,0 +1,90 @@
+#include "tests/mesh/changingfleet.h"
+
+#include "platform/internal/wirenames.h"
+#include "platform/tests/messages.h"
+#include "tests/mesh/meshcaller.h"
+
+#include <CppUTest/TestHarness.h>
+#include <iostream>
+#include <thread>
+#include <unistd.h>
+
+namespace hawthornpick::meshtest {
+
+namespace {
+
+namespace messages = platform::messages;
+using processtest::http_client;
+
+constexpr base::milliseconds POLL_INTERVAL{100};
+
+auto answerAtOnce(webapi::request incoming) -> boost::asio::awaitable<webapi::response>
+{
+    static const auto names = platform::wireNames();
+    webapi::response answer{200, "text/plain", "done"};
+    answer.headers[names.requestId] = testsupport::headerValue(incoming, names.requestId);
+    co_return answer;
+}
+
+} // namespace
+
+changing_fleet::changing_fleet(const std::string &name, testsupport::fleet_size size)
+    : m_size(size), m_fleet(HAWTHORNPICK_BINARY,
+                            std::filesystem::temp_directory_path()
+                                    / ("hawthornpick-" + name + "-" + std::to_string(getpid())),
+                            size, [](int /*node*/, webapi::request incoming) {
+                                return answerAtOnce(std::move(incoming));
+                            })
+{
+    CHECK_TEXT(mesh_caller(m_fleet).waitUntilServed(), "the fleet does not serve");
+}
+
+auto changing_fleet::addRoute(base::milliseconds limit) -> bool
+{
+    constexpr unsigned NARROW_RATE = 1000;
+    const auto end = base::clock::now() + limit;
+    for (int attempt = 0; base::clock::now() < end; ++attempt) {
+        http_client client(m_fleet.controlAddress(attempt % m_fleet.cores()));
+        const auto answer = client.send("PUT", std::string(messages::CONFIGURATION_PATH),
+                                        messages::changeHeaders(m_version),
+                                        messages::configuration(m_version + 1, NARROW_RATE));
+        if (answer && answer->status == 200) {
+            ++m_version;
+            return true;
+        }
+        std::this_thread::sleep_for(POLL_INTERVAL);
+    }
+    return false;
+}
+
+auto changing_fleet::countNodesWithoutRoute() -> int
+{
+    int count = 0;
+    mesh_caller caller(m_fleet);
+    const auto path = "/v" + std::to_string(m_version) + "/1";
+    for (int edge = 0; edge < m_size.edges; ++edge) {
+        const auto answer = caller.sendTo(edge, "GET", path);
+        const bool isServed = answer && answer->status == 200;
+        if (!isServed) {
+            std::cout << "edge " << edge << " answers " << (answer ? answer->status : 0) << " for "
+                      << path << "\n";
+        }
+        count += isServed ? 0 : 1;
+    }
+    return count;
+}
+
+auto changing_fleet::countCoresWithoutVersion() -> int
+{
+    int count = 0;
+    for (int core = 0; core < m_fleet.cores(); ++core) {
+        http_client client(m_fleet.controlAddress(core));
+        const auto answer = client.send("GET", std::string(messages::CONFIGURATION_PATH), {}, {});
+        const bool isCurrent =
+                answer && answer->status == 200 && messages::versionOf(answer->body) == m_version;
+        count += isCurrent ? 0 : 1;
+    }
+    return count;
+}
+
+} // namespace hawthornpick::meshtest
--- a/tests/mesh/meshcaller.cpp
+++ b/tests/mesh/meshcaller.cpp
@@ -42,6 +42,22 @@
     return answer && answer->status == 200;
 }
 
+auto mesh_caller::submitSlowRoute() -> bool
+{
+    processtest::http_client client(m_fleet.controlAddress(0));
+    const auto answer = client.send("PATCH", std::string(messages::CONFIGURATION_PATH),
+                                    messages::changeHeaders(1), messages::slowServicePatch(2));
+    if (!answer || answer->status != 200) {
+        return false;
+    }
+    const auto end = base::clock::now() + START_LIMIT;
+    for (int edge = 0; edge < edgeCount() && base::clock::now() < end;) {
+        const auto known = sendTo(edge, "GET", "/slow/1");
+        edge += known && known->status != 404 ? 1 : 0;
+    }
+    return true;
+}
+
 auto mesh_caller::sendTo(int edge, const std::string &method, const std::string &target,
                          const std::string &body) -> std::optional<processtest::http_answer>
 {
--- a/tests/mesh/meshcaller.h
+++ b/tests/mesh/meshcaller.h
@@ -23,6 +23,10 @@
     //! Submits a configuration and waits until each node serves a request; false after 30 s.
     auto waitUntilServed() -> bool;
 
+    //! Adds the service "slow" with its route and waits until each node knows the route; false
+    //! after 30 s. Precondition: `waitUntilServed` has returned true.
+    auto submitSlowRoute() -> bool;
+
     //! Sends a request to a node with an upstream, counted from 0.
     auto sendTo(int edge, const std::string &method, const std::string &target,
                 const std::string &body = {}) -> std::optional<processtest::http_answer>;
--- a/tests/support/childprocess.cpp
+++ b/tests/support/childprocess.cpp
@@ -2,7 +2,9 @@
 
 #include <csignal>
 #include <fcntl.h>
+#include <fstream>
 #include <spawn.h>
+#include <string>
 #include <sys/wait.h>
 #include <system_error>
 #include <unistd.h>
@@ -58,6 +60,18 @@
     }
 }
 
+auto child_process::peakMemoryKb() const -> long
+{
+    const std::string label = "VmHWM:";
+    std::ifstream status("/proc/" + std::to_string(m_id) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(label)) {
+            return std::stol(line.substr(label.size()));
+        }
+    }
+    return 0;
+}
+
 auto child_process::takeStatus(int status) -> void
 {
     m_hasEnded = true;
--- a/tests/support/childprocess.h
+++ b/tests/support/childprocess.h
@@ -26,6 +26,9 @@
     //! True if the process has not ended; does not wait.
     auto isRunning() -> bool;
 
+    //! Largest amount of memory that the process has used so far; 0 if it has ended.
+    [[nodiscard]] auto peakMemoryKb() const -> long;
+
     //! Waits for the end; returns the exit status, or nothing after a signal.
     auto wait() -> std::optional<int>;
 
--- a/tests/support/meshfleet.cpp
+++ b/tests/support/meshfleet.cpp
@@ -129,19 +129,12 @@
     }
 }
 
-auto mesh_fleet::start(int node, base::milliseconds wallClockStep) -> void
+auto mesh_fleet::start(int node, std::vector<std::string> variables) -> void
 {
     const auto index = static_cast<std::size_t>(node);
     writeSettings(node);
     m_hasStarted.at(index) = true;
     const auto settings = "--settings=" + (m_folder / (nameOf(node) + ".ini")).string();
-    std::vector<std::string> variables;
-    if (wallClockStep.count() != 0) {
-        const auto library = std::filesystem::path(m_binary).parent_path()
-                             / "tests/mesh/libhawthornpick_stepped_clock.so";
-        variables = {"LD_PRELOAD=" + library.string(),
-                     "HAWTHORNPICK_TEST_CLOCK_STEP_MS=" + std::to_string(wallClockStep.count())};
-    }
     m_processes.at(index).emplace(m_binary, std::vector<std::string>{"mesh", settings},
                                   m_folder / (nameOf(node) + ".log"), std::move(variables));
 }
@@ -159,6 +152,12 @@
     return process && process->isRunning();
 }
 
+auto mesh_fleet::peakMemoryKb(int node) -> long
+{
+    const auto &process = m_processes.at(static_cast<std::size_t>(node));
+    return process ? process->peakMemoryKb() : 0;
+}
+
 auto mesh_fleet::kill(int node) -> void
 {
     m_processes.at(static_cast<std::size_t>(node)).reset();
@@ -208,6 +207,17 @@
     return answer ? answer->status : 0;
 }
 
+auto mesh_fleet::announce(int node, const std::string &name, const std::string &service,
+                          const membership::endpoint &address, unsigned slots,
+                          std::uint64_t sequenceNo) -> unsigned
+{
+    const auto body = messages::heartbeat(service, address, 1, sequenceNo, "ready", slots);
+    const auto answer =
+            webapi::call(controlAddress(node), {"PUT", "/instances/" + name, {}, {}, body},
+                         ACKNOWLEDGEMENT_TIMEOUT);
+    return answer ? answer->status : 0;
+}
+
 auto mesh_fleet::withdrawUpstream(int node) -> unsigned
 {
     const auto answer =
--- a/tests/support/meshfleet.h
+++ b/tests/support/meshfleet.h
@@ -49,10 +49,12 @@
     [[nodiscard]] auto callerAddress(int node) const -> membership::endpoint;
     [[nodiscard]] auto controlAddress(int node) const -> membership::endpoint;
 
-    //! Starts a node, with its wall clock apart from that of the machine.
-    auto start(int node, base::milliseconds wallClockStep = base::milliseconds(0)) -> void;
+    //! Starts a node, with variables ("NAME=value") added to the environment.
+    auto start(int node, std::vector<std::string> variables = {}) -> void;
     auto signal(int node, int number) -> void;
     auto isRunning(int node) -> bool;
+    //! Largest amount of memory that the process of a node has used.
+    auto peakMemoryKb(int node) -> long;
     //! Kills a process and waits for its end.
     auto kill(int node) -> void;
 
@@ -66,6 +68,11 @@
     //! Sends a heartbeat of the upstream beside a node; returns the status of the answer, or 0 if
     //! there is none.
     auto sendHeartbeat(int node, const std::string &state, std::uint64_t sequenceNo) -> unsigned;
+    //! Sends a heartbeat of another upstream on the host of a node; returns the status of the
+    //! answer, or 0 if there is none.
+    auto announce(int node, const std::string &name, const std::string &service,
+                  const membership::endpoint &address, unsigned slots, std::uint64_t sequenceNo)
+            -> unsigned;
     //! Withdraws the upstream beside a node; returns the status of the answer, or 0 if there is
     //! none.
     auto withdrawUpstream(int node) -> unsigned;
