Refuse operators at once while the data folder is not loaded

Cause: quorum_node has no replica before the data folder is loaded, and its tick returned before it expired pending requests.

Change: requests are refused as unavailable at once in this state.

--- a/src/quorum/internal/quorumnode.cpp
+++ b/src/quorum/internal/quorumnode.cpp
@@ -116,7 +116,11 @@
                 pending_request{std::move(request), deadline, {}, std::move(onAnswer), {}});
         m_post([weak = weak_from_this()](base::time_point now) {
             const auto self = weak.lock();
-            if (!self || !self->m_replica) {
+            if (!self) {
+                return messages{};
+            }
+            if (!self->m_replica) {
+                self->refusePendingRequests("the data folder of this node is not loaded yet");
                 return messages{};
             }
             self->advancePendingRequests(now);
@@ -245,6 +249,13 @@
         onAnswer(std::move(answer));
     }
 
+    auto refusePendingRequests(const std::string &reason) -> void
+    {
+        for (const auto &[requestId, request] : std::exchange(m_pendingRequests, {})) {
+            request.onAnswer(group_unavailable{reason});
+        }
+    }
+
     auto advancePendingRequests(base::time_point now) -> void
     {
         std::vector<answer_function> expired;
--- a/tests/mesh/fulldisktest.cpp
+++ b/tests/mesh/fulldisktest.cpp
@@ -1,4 +1,6 @@
+#include "platform/tests/messages.h"
 #include "tests/mesh/changingfleet.h"
+#include "webapi/client.h"
 
 #include <CppUTest/TestHarness.h>
 #include <array>
@@ -14,6 +16,8 @@
 constexpr testsupport::fleet_size FLEET_SIZE{5, 2};
 //! Time within which a change is acknowledged while the core is stable.
 constexpr base::milliseconds ACKNOWLEDGEMENT_TIME{4000};
+//! Time after which an operator tries another node.
+constexpr base::milliseconds OPERATOR_PATIENCE{1000};
 constexpr base::milliseconds FULL_TIME{600};
 
 //! Makes the disk of one core node full.
@@ -53,6 +57,33 @@
 
 TEST_GROUP(full_disk){};
 
+// Guards against requests of operators that stay unanswered as long as a node that has just started
+// can't read its data folder.
+TEST(full_disk, nodeWithoutItsDataFolderRefusesAtOnce)
+{
+    changing_fleet fleet("full", FLEET_SIZE);
+    constexpr int CORE = 1;
+    disk_switch disk(CORE);
+    disk.setFull("open");
+    fleet.nodes().kill(CORE);
+    fleet.nodes().start(CORE, disk.variables());
+    std::this_thread::sleep_for(changing_fleet::START_TIME);
+    const auto address = fleet.nodes().controlAddress(CORE);
+    for (const auto *method : {"GET", "PUT"}) {
+        const auto answer = webapi::call(
+                address,
+                {method, "/configuration", {}, {}, platform::messages::configuration(99, 1)},
+                OPERATOR_PATIENCE);
+        CHECK_TEXT(answer.has_value(), method);
+        CHECK_EQUAL(503U, answer->status);
+    }
+    disk.setFull({});
+    CHECK(fleet.addRoute(ACKNOWLEDGEMENT_TIME));
+    std::this_thread::sleep_for(changing_fleet::APPLY_TIME);
+    const int outdated = fleet.countCoresWithoutVersion();
+    CHECK_EQUAL(0, outdated);
+}
+
 // Guards against changes that are refused or unanswered long after disks that were full one after
 // another have room again, whatever access failed, also if a node restarts meanwhile.
 TEST(full_disk, changesAreAcknowledgedAfterDisksWereFullInTurn)
