Use one list of candidate hubs in the reporter

isStored repeated the loop of hubsByPreference without its second half: it counted contacts that are known not to be live hubs, which no request is sent to. With two contacts of which one leaves, a departure could never count as stored. Found by reading; no test plays it.

Both use candidateHubs now. With two live hubs or more nothing changes.

--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -116,13 +116,8 @@
     const auto copies =
             std::count_if(m_storedSequences.begin(), m_storedSequences.end(),
                           [sequence](const auto &item) { return item.second >= sequence; });
-    std::set<base::node_id> hubs(m_contacts.begin(), m_contacts.end());
-    m_records.forEach([&hubs](const node_record &record) {
-        if (record.isAliveHub()) {
-            hubs.insert(record.entry.id);
-        }
-    });
-    return copies > 0 && static_cast<std::size_t>(copies) >= std::min(STORE_COPIES, hubs.size());
+    return copies > 0
+           && static_cast<std::size_t>(copies) >= std::min(STORE_COPIES, candidateHubs().size());
 }
 
 auto reporter::onStoreAnswer(const base::node_id &from, const store_answer &answer) -> void
@@ -339,9 +334,9 @@
     return record->entry.failureDomain == m_self.entry.failureDomain ? 0 : 1;
 }
 
-// Hubs that failed recently come last, those with the earliest end of their backoff first. The
-// others are ordered by distance; rendezvous hashing spreads nodes over equally distant hubs.
-auto reporter::hubsByPreference(base::time_point now) const -> std::vector<base::node_id>
+// Returns the contacts and the hubs of the directory without those that are known not to be live
+// hubs.
+auto reporter::candidateHubs() const -> std::set<base::node_id>
 {
     std::set<base::node_id> candidates(m_contacts.begin(), m_contacts.end());
     m_records.forEach([&candidates](const node_record &record) {
@@ -351,6 +346,14 @@
             candidates.erase(record.entry.id);
         }
     });
+    return candidates;
+}
+
+// Hubs that failed recently come last, those with the earliest end of their backoff first. The
+// others are ordered by distance; rendezvous hashing spreads nodes over equally distant hubs.
+auto reporter::hubsByPreference(base::time_point now) const -> std::vector<base::node_id>
+{
+    const auto candidates = candidateHubs();
     const auto preference = [this, now](const base::node_id &node) {
         const auto backoff = m_backoffUntil.find(node);
         const bool isInBackoff = backoff != m_backoffUntil.end() && backoff->second > now;
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -131,6 +131,7 @@
     [[nodiscard]] auto coverageShare(std::uint32_t coveredNodeCount) const -> double;
     auto switchHub(const base::node_id &hub) -> void;
     [[nodiscard]] auto preferredDeputy(base::time_point now) const -> base::node_id;
+    [[nodiscard]] auto candidateHubs() const -> std::set<base::node_id>;
     [[nodiscard]] auto hubsByPreference(base::time_point now) const -> std::vector<base::node_id>;
     auto supersede(std::uint64_t generation) -> void;
     auto onSelfChanged() -> void;
