fleet, app: tell since when a node's configuration is confirmed

Change: a report bears its time of sending and the answer repeats it with the version of the hub. A node knows from that when a fresh hub last confirmed its version. Lines of requests have confirmed_ms and confirmed_by; late answers have a counter and a log line; 'hub chosen' tells whether the hub is a deputy. No decision depends on it yet. Result: confirmsVersionsByFreshHubsOnly passes.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -23,6 +23,9 @@
 //! Below the one second after which upstreams repeat an announcement.
 constexpr base::milliseconds DEPARTURE_TIMEOUT{800};
 
+//! Least time between log lines about late answers of hubs.
+constexpr base::milliseconds LATE_ANSWER_LOG_INTERVAL{10'000};
+
 auto resolve(const base::node_id &node) -> std::optional<membership::endpoint>
 {
     return membership::parseEndpoint(node.str());
@@ -46,7 +49,11 @@
       m_applyChange(adapter.applyChange), m_parseDocument(adapter.parseDocument),
       m_callbacks(std::move(callbacks)),
       m_runtime(context, identity, settings.peerListenAddress, resolve, metrics),
-      m_traffic(metrics), m_bootId(base::systemSeed()),
+      m_traffic(metrics),
+      m_lateAnswers(metrics.counter("directory_late_answers_total",
+                                    "Answers of hubs that came after the node had stopped to wait "
+                                    "for them")),
+      m_bootId(base::systemSeed()),
       m_reporter(nodeRecord(settings), seedNodes(settings.seeds), reporterCallbacks()),
       m_deputy(m_bootId, m_reporter, m_callbacks.isNearLimit)
 {
@@ -116,12 +123,27 @@
     callbacks.onStored = [this] {
         wakeStorageWaits();
     };
-    callbacks.onHubChanged = [](const base::node_id &hub) {
-        base::log(base::log_level::Info, "hub chosen", {{"hub", hub.str()}});
+    callbacks.onHubChanged = [](const base::node_id &hub, bool isDeputy) {
+        base::log(base::log_level::Info, "hub chosen", {{"hub", hub.str()}, {"deputy", isDeputy}});
+    };
+    callbacks.onLateAnswer = [this](const base::node_id &from, base::duration answerTime) {
+        onLateAnswer(from, answerTime);
     };
     return callbacks;
 }
 
+auto mesh_control::onLateAnswer(const base::node_id &from, base::duration answerTime) -> void
+{
+    m_lateAnswers.Increment();
+    const auto now = base::clock::now();
+    if (now < m_nextLateAnswerLogAt) {
+        return;
+    }
+    m_nextLateAnswerLogAt = now + LATE_ANSWER_LOG_INTERVAL;
+    base::log(base::log_level::Warning, "hub answers late",
+              {{"hub", from.str()}, {"ms", base::toMilliseconds(answerTime)}});
+}
+
 auto mesh_control::startQuorum(const config::mesh_settings &settings) -> void
 {
     quorum::quorum_settings quorumSettings;
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -68,6 +68,12 @@
     //! Replaces the seed nodes, given by their IP addresses.
     auto setSeeds(const std::vector<std::string> &seeds) -> void;
 
+    //! Returns the last proof that the configuration in force was the newest one.
+    [[nodiscard]] auto confirmation() const -> const fleet::version_confirmation &
+    {
+        return m_reporter.confirmation();
+    }
+
     //! Announces to the fleet that this node stops.
     auto leave() -> void;
 
@@ -98,6 +104,7 @@
     // Runs an operation of the deputy and logs if it became active or inactive. A deputy takes the
     // place of the hubs while none of them is reachable.
     auto runDeputy(const std::function<messages()> &action) -> messages;
+    auto onLateAnswer(const base::node_id &from, base::duration answerTime) -> void;
     auto onCommitted(const quorum::value_pointer &value) -> void;
     auto wakeStorageWaits() -> void;
     auto applyDocument(const fleet::config_document &document) -> void;
@@ -114,6 +121,8 @@
     mesh_control_callbacks m_callbacks;
     peer::control_runtime m_runtime;
     control_traffic m_traffic;
+    prometheus::Counter &m_lateAnswers;
+    base::time_point m_nextLateAnswerLogAt;
     std::uint64_t m_bootId;
     fleet::reporter m_reporter;
     fleet::deputy m_deputy;
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -503,6 +503,8 @@
                      {"service", report.service.str()},
                      {"organisation", report.organisation.str()},
                      {"version", report.version},
+                     {"confirmed_ms", confirmationAge()},
+                     {"confirmed_by", m_control.confirmation().hub.str()},
                      {"attempts", report.attempts},
                      {"status", report.status},
                      {"reason",
@@ -513,6 +515,16 @@
                      {"late", report.isLate}});
     }
 
+    // Milliseconds since the version in force was known to be the newest one, or -1 if it never
+    // was.
+    auto confirmationAge() const -> std::int64_t
+    {
+        const auto &confirmation = m_control.confirmation();
+        return confirmation.hub.empty()
+                       ? -1
+                       : base::toMilliseconds(base::clock::now() - confirmation.time);
+    }
+
     // An upstream that refused a single request accepts the next one at once; after other refusals
     // capacity becomes free after about the duration of one request. Random jitter keeps callers
     // that were refused together from retrying together.
--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -149,6 +149,8 @@
     [[nodiscard]] auto regionOf(const base::node_id &node) const -> base::region_id;
     [[nodiscard]] auto answerProbe(const base::node_id &from, const report &content,
                                    base::time_point now) const -> messages;
+    [[nodiscard]] auto startAnswer(const report &content, base::time_point now) const
+            -> report_answer;
     [[nodiscard]] auto newerDocument(base::config_version version) const
             -> std::optional<config_document>;
     [[nodiscard]] auto nearerHubsFor(const report &content) const -> std::vector<node_record>;
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -62,6 +62,8 @@
   9: optional list<node_record> known_departures
   // True if these are all that a complete directory contains.
   10: optional bool tells_departures
+  // Time of the sender's monotonic clock, which the answer repeats.
+  11: optional i64 sent_at
 }
 
 struct report_answer {
@@ -78,6 +80,10 @@
   10: i32 covered_nodes
   // True if the hub's directory has been collected since its start.
   11: optional bool complete
+  // `sent_at` of the report.
+  12: optional i64 report_sent_at
+  // Newest version that the hub has.
+  13: optional i64 hub_version
 }
 
 // Sent by each hub to the other hubs of its region, with the summed usage of the nodes that report to
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -98,8 +98,7 @@
     if (content.isProbe) {
         return answerProbe(from, content, now);
     }
-    report_answer answer;
-    answer.isFresh = m_isFresh(now);
+    auto answer = startAnswer(content, now);
     const auto *known = m_records.find(from);
     if (known != nullptr && known->generation > content.sender.generation) {
         // Generations are wall clock times of process starts: the host's clock was set back before
@@ -139,15 +138,23 @@
 auto hub::answerProbe(const base::node_id &from, const report &content, base::time_point now) const
         -> messages
 {
-    report_answer answer;
+    auto answer = startAnswer(content, now);
     answer.cursor = content.cursor;
-    answer.isFresh = m_isFresh(now);
     if (answer.isFresh) {
         answer.document = newerDocument(content.configVersion);
     }
     return {toOutgoingMessage(from, answer)};
 }
 
+auto hub::startAnswer(const report &content, base::time_point now) const -> report_answer
+{
+    report_answer answer;
+    answer.reportSentAt = content.sentAt;
+    answer.isFresh = m_isFresh(now);
+    answer.hubVersion = m_document.version;
+    return answer;
+}
+
 auto hub::newerDocument(base::config_version version) const -> std::optional<config_document>
 {
     return m_document.version > version ? std::optional(m_document) : std::nullopt;
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -193,6 +193,16 @@
     return {static_cast<std::uint64_t>(bootId), static_cast<std::uint64_t>(changeNumber)};
 }
 
+auto timeToWire(base::time_point time) -> std::int64_t
+{
+    return base::toMilliseconds(time.time_since_epoch());
+}
+
+auto timeFromWire(std::int64_t milliseconds) -> base::time_point
+{
+    return base::time_point(base::milliseconds(milliseconds));
+}
+
 auto nodeCountFromWire(std::int32_t count) -> std::uint32_t
 {
     return static_cast<std::uint32_t>(std::max(0, count));
@@ -271,6 +281,7 @@
         if (content.tellsDepartures) {
             encoded.__set_tells_departures(true);
         }
+        encoded.__set_sent_at(timeToWire(content.sentAt));
         out.__set_node_report(encoded);
     }
     auto operator()(const report_answer &content) const -> void
@@ -288,6 +299,8 @@
         encoded.known_generation = static_cast<std::int64_t>(content.knownGeneration);
         encoded.covered_nodes = static_cast<std::int32_t>(content.coveredNodeCount);
         encoded.__set_complete(content.isDirectoryComplete);
+        encoded.__set_report_sent_at(timeToWire(content.reportSentAt));
+        encoded.__set_hub_version(static_cast<std::int64_t>(content.hubVersion));
         out.__set_answer(encoded);
     }
     auto operator()(const sync_request &content) const -> void
@@ -363,6 +376,8 @@
     answer.knownGeneration = static_cast<std::uint64_t>(encoded.known_generation);
     answer.coveredNodeCount = nodeCountFromWire(encoded.covered_nodes);
     answer.isDirectoryComplete = encoded.complete;
+    answer.reportSentAt = timeFromWire(encoded.report_sent_at);
+    answer.hubVersion = static_cast<base::config_version>(encoded.hub_version);
     return answer;
 }
 
@@ -451,7 +466,8 @@
                       digestFromWire(encoded.__isset.directory_digest, encoded.directory_digest),
                       encoded.distant,
                       fromWire(encoded.known_departures),
-                      encoded.tells_departures};
+                      encoded.tells_departures,
+                      timeFromWire(encoded.sent_at)};
     }
     if (decoded->__isset.answer) {
         return reportAnswerFromWire(decoded->answer);
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -202,9 +202,11 @@
         if (answer.document) {
             applyDocument(*answer.document);
         }
+        confirmVersion(from, answer);
         return sendReport(now);
     }
     if (from != m_hub) {
+        m_callbacks.onLateAnswer(from, now - answer.reportSentAt);
         return {};
     }
     // The hub has restarted and needs the digest of the directory, or it knows nearer hubs.
@@ -276,6 +278,16 @@
     if (answer.document) {
         applyDocument(*answer.document);
     }
+    confirmVersion(m_hub, answer);
+}
+
+// An answer may leave out the document although the hub has a newer one.
+auto reporter::confirmVersion(const base::node_id &from, const report_answer &answer) -> void
+{
+    if (answer.isFresh && answer.hubVersion <= m_configVersion
+        && answer.reportSentAt > m_confirmation.time) {
+        m_confirmation = {answer.reportSentAt, from};
+    }
 }
 
 // The hub's record of this node tells what former processes published, whose promises bind this
@@ -322,6 +334,7 @@
         nodeReport.knownDepartures = m_records.departures();
         nodeReport.tellsDepartures = true;
     }
+    nodeReport.sentAt = now;
     return {toOutgoingMessage(m_hub, nodeReport)};
 }
 
@@ -411,7 +424,7 @@
     m_self.reportsTo = hub;
     ++m_self.sequence;
     m_records.merge(m_self);
-    m_callbacks.onHubChanged(m_hub);
+    m_callbacks.onHubChanged(m_hub, m_usesDeputy);
 }
 
 // Probes without waiting for the next report: with half of the hubs cut off from the leader, one
@@ -427,7 +440,9 @@
         if (hub != m_hub && !m_previouslyProbed.contains(hub)) {
             m_probedHub = hub;
             m_probeSentAt = now;
-            return {toOutgoingMessage(hub, report{m_self, {}, m_configVersion, {}, true})};
+            report probe{m_self, {}, m_configVersion, {}, true};
+            probe.sentAt = now;
+            return {toOutgoingMessage(hub, probe)};
         }
     }
     m_previouslyProbed.clear();
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -2,6 +2,7 @@
 
 #include "base/crashrecord.h"
 #include "base/message.h"
+#include "base/time.h"
 #include "base/usage.h"
 #include "membership/view.h"
 
@@ -128,6 +129,8 @@
     std::vector<node_record> knownDepartures = {};
     //! True if these are all that a complete directory contains.
     bool tellsDepartures = false;
+    //! Time of sending by the clock of the sender. The receiver only repeats it.
+    base::time_point sentAt = {};
 };
 
 struct report_answer
@@ -150,6 +153,10 @@
     std::uint32_t coveredNodeCount = 0;
     //! True if the directory of the hub has been collected since its start.
     bool isDirectoryComplete = false;
+    //! `report::sentAt` of the report that is answered.
+    base::time_point reportSentAt = {};
+    //! Newest version that the hub has.
+    base::config_version hubVersion = 0;
 };
 
 //! Sent by a hub to each hub of its region and to one hub of each other region.
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -11,6 +11,17 @@
 
 namespace hawthornpick::fleet {
 
+//! The last proof that a node had the newest committed version: the answer of a hub that was fresh
+//! and had no newer version.
+struct version_confirmation
+{
+    //! Time at which the hub was asked; the epoch if there was no answer yet.
+    base::time_point time = {};
+    base::node_id hub;
+
+    auto operator<=>(const version_confirmation &) const = default;
+};
+
 //! Callbacks of a reporter, called on the reporter's thread.
 struct reporter_callbacks
 {
@@ -36,7 +47,9 @@
     //! Called when a hub has answered that it stored the record of this node.
     std::function<void()> onStored;
     //! Called when the hub in use changes; the id is empty if no candidate is known.
-    std::function<void(const base::node_id &hub)> onHubChanged;
+    std::function<void(const base::node_id &hub, bool isDeputy)> onHubChanged;
+    //! Called with an answer that came after the node had stopped to wait for it.
+    std::function<void(const base::node_id &from, base::duration answerTime)> onLateAnswer;
 };
 
 //! Decision object of each node: reports the node to one hub and learns the directory, committed
@@ -111,6 +124,10 @@
     //! the node with `sequence` or a later one.
     [[nodiscard]] auto isStored(std::uint64_t sequence) const -> bool;
 
+    [[nodiscard]] auto confirmation() const -> const version_confirmation &
+    {
+        return m_confirmation;
+    }
     [[nodiscard]] auto records() const -> const record_table & { return m_records; }
     [[nodiscard]] auto self() const -> const node_record & { return m_self; }
 
@@ -121,6 +138,7 @@
     auto onReportAnswer(const base::node_id &from, const report_answer &answer,
                         base::time_point now) -> messages;
     auto applyDocument(const config_document &document) -> void;
+    auto confirmVersion(const base::node_id &from, const report_answer &answer) -> void;
     auto sendReport(base::time_point now) -> messages;
     auto sendUsageUpdate(base::time_point now) -> messages;
     auto selectHub(base::time_point now) -> void;
@@ -175,6 +193,7 @@
     base::time_point m_nextStoreRequestAt;
     std::size_t m_storeRequestRound = 0;
     base::config_version m_configVersion = 0;
+    version_confirmation m_confirmation;
     std::uint64_t m_viewVersion = 0;
 };
 
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -85,6 +85,7 @@
     //! True if the node has been told all that is known of former processes.
     bool hasCompleteDirectory = false;
     bool isFresh = true;
+    int lateAnswerCount = 0;
 };
 
 //! Nodes in a virtual network; the first `hubCount` of them are hubs. Even and odd nodes are in
@@ -150,9 +151,13 @@
         };
         callbacks.onStored = [] {
         };
-        callbacks.onHubChanged = [&node](const base::node_id &hub) {
+        callbacks.onHubChanged = [&node](const base::node_id &hub, bool /*isDeputy*/) {
             node.currentHub = hub;
         };
+        callbacks.onLateAnswer = [&node](const base::node_id & /*from*/,
+                                         base::duration /*answerTime*/) {
+            ++node.lateAnswerCount;
+        };
         node.reporter = std::make_unique<fleet::reporter>(record, m_contacts, callbacks);
         node.hub.reset();
         node.deputy = std::make_unique<fleet::deputy>(m_network.random().bits(), *node.reporter,
@@ -197,6 +202,20 @@
         m_network.send(nodeIdOf(hub), out);
     }
 
+    //! Cuts a node off from all hubs, or joins it with them again.
+    auto setCutFromHubs(int index, bool isCut) -> void
+    {
+        for (int i = 0; i < static_cast<int>(m_nodes.size()); ++i) {
+            if (m_nodes.at(i).hub && isCut) {
+                m_network.cut(nodeIdOf(index), nodeIdOf(i));
+                m_network.cut(nodeIdOf(i), nodeIdOf(index));
+            }
+        }
+        if (!isCut) {
+            m_network.healAll();
+        }
+    }
+
     //! Returns true if a restarted node has been told that an upstream of its predecessor left.
     auto hasBeenToldOfDeparture(int index, const std::string &upstream,
                                 base::incarnation incarnation) -> bool
@@ -303,6 +322,50 @@
     }
 }
 
+// Guards against nodes that keep an old version because they drop each answer of a hub with the
+// document in it, while the answers take longer than a report waits.
+TEST(directory, learnsVersionsFromAnswersThatTakeLongerThanAReportWaits)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(4000));
+    fleet.network().setFaults({0.02, 0.02, milliseconds(240), milliseconds(260)});
+    fleet.run(milliseconds(4000));
+    for (base::config_version version = 1; version <= 5; ++version) {
+        for (int hub = 0; hub < 3; ++hub) {
+            fleet.publish(hub, version);
+        }
+        fleet.run(milliseconds(2500));
+        for (int i = 3; i < 8; ++i) {
+            CHECK_EQUAL(version, fleet.node(i).version);
+        }
+    }
+}
+
+// Guards against a version that counts as the newest one without the answer of a fresh hub that has
+// no newer one.
+TEST(directory, confirmsVersionsByFreshHubsOnly)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(4000));
+    const auto isConfirmed = [&fleet](milliseconds age) {
+        return fleet.network().now() - fleet.node(6).reporter->confirmation().time <= age;
+    };
+    CHECK(isConfirmed(milliseconds(1000)));
+    for (int hub = 0; hub < 3; ++hub) {
+        fleet.node(hub).isFresh = false;
+    }
+    fleet.run(milliseconds(3000));
+    CHECK(!isConfirmed(milliseconds(2500)));
+    fleet.node(2).isFresh = true;
+    fleet.publish(2, 3);
+    fleet.run(milliseconds(2000));
+    CHECK(isConfirmed(milliseconds(1000)));
+    CHECK_EQUAL(3, fleet.node(6).version);
+    fleet.setCutFromHubs(6, true);
+    fleet.run(milliseconds(3000));
+    CHECK(!isConfirmed(milliseconds(2500)));
+}
+
 // Guards against a committed version that reaches nodes only with the answer to their next report.
 TEST(directory, pushesCommittedVersions)
 {
