fleet: use the answers of hubs that come late

What callers saw: 404 for added routes at one node, for good, while the core and all other nodes were well. Cause: a node that had lost the hubs for about a second reported to a deputy and returned only if a hub answered a probe within 150 ms. With answers that take longer, and nothing else wrong, it never did. Each answer was dropped as a whole, with the document in it, because it came from a hub that was not in use; and a hub pushes versions only to nodes that report to it. Ruled out: a stepped clock or a restart, neither of which is needed. Change: the document of any answer is applied, as it is a committed one. An answer to a report of the last second shows that its hub can be used, whether the node still waits for it or not. Evidence: returnsToHubsThatAnswerLaterThanAProbeWaits (virtual network, round trip 200 ms) failed before with version 0 instead of 5; nodeServesAddedRoutesAfterACutAlthoughHubsAnswerLate (real processes, 100 ms each way) failed before with 404 for the first added route. Both pass. learnsVersionsFromAnswersThatTakeLongerThanAReportWaits passed before, because of the pushes, and guards the other case.

--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -186,28 +186,13 @@
 auto reporter::onReportAnswer(const base::node_id &from, const report_answer &answer,
                               base::time_point now) -> messages
 {
-    if (from == m_probedHub && from != m_hub) {
-        if (!answer.isFresh && !m_usesDeputy) {
-            return probeNextHub(now);
-        }
-        // The hubs probed before this one are stale or did not answer, and the hub in use is stale
-        // or a deputy.
-        m_previouslyProbed.insert(m_hub);
-        for (const auto &hub : m_previouslyProbed) {
-            m_backoffUntil[hub] = now + FAILED_HUB_BACKOFF;
-        }
-        m_backoffUntil.erase(from);
-        m_usesDeputy = false;
-        switchHub(from);
-        if (answer.document) {
-            applyDocument(*answer.document);
-        }
-        confirmVersion(from, answer);
-        return sendReport(now);
+    // Whatever the answer is worth otherwise, its document is a committed one.
+    if (answer.document) {
+        applyDocument(*answer.document);
     }
+    confirmVersion(from, answer);
     if (from != m_hub) {
-        m_callbacks.onLateAnswer(from, now - answer.reportSentAt);
-        return {};
+        return onAnswerOfOtherHub(from, answer, now);
     }
     // The hub has restarted and needs the digest of the directory, or it knows nearer hubs.
     const bool mustReportAgain =
@@ -231,6 +216,39 @@
     return m_probedHub.empty() ? probeNextHub(now) : messages{};
 }
 
+// Answers to probes come from hubs that are not in use; so do answers to reports that came after
+// the node had given up the hub.
+auto reporter::onAnswerOfOtherHub(const base::node_id &from, const report_answer &answer,
+                                  base::time_point now) -> messages
+{
+    const bool isProbing = !m_probedHub.empty() || !m_previouslyProbed.empty();
+    const bool isExpected = from == m_probedHub;
+    if (!isExpected) {
+        m_callbacks.onLateAnswer(from, now - answer.reportSentAt);
+    }
+    const bool isRecent = now - answer.reportSentAt <= MAX_ANSWER_AGE;
+    const bool isUsable =
+            (m_usesDeputy || (isProbing && answer.isFresh)) && candidateHubs().contains(from);
+    if (isRecent && isUsable) {
+        return returnToHub(from, now);
+    }
+    return isExpected ? probeNextHub(now) : messages{};
+}
+
+// The hubs probed before this one are stale or did not answer, and the hub in use is stale or a
+// deputy.
+auto reporter::returnToHub(const base::node_id &hub, base::time_point now) -> messages
+{
+    m_previouslyProbed.insert(m_hub);
+    for (const auto &probed : m_previouslyProbed) {
+        m_backoffUntil[probed] = now + FAILED_HUB_BACKOFF;
+    }
+    m_backoffUntil.erase(hub);
+    m_usesDeputy = false;
+    switchHub(hub);
+    return sendReport(now);
+}
+
 // A hub that has just started knows only the few nodes that have reported to it. The share
 // therefore refers to the live entry nodes that this node knows.
 auto reporter::coverageShare(std::uint32_t coveredNodeCount) const -> double
@@ -275,10 +293,6 @@
     if (hasChanged) {
         publishView();
     }
-    if (answer.document) {
-        applyDocument(*answer.document);
-    }
-    confirmVersion(m_hub, answer);
 }
 
 // An answer may leave out the document although the hub has a newer one.
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -86,6 +86,9 @@
     static constexpr base::milliseconds USAGE_UPDATE_INTERVAL{100};
     //! Time limit for the answer to a probe: three round trips between regions.
     static constexpr base::milliseconds PROBE_TIMEOUT{150};
+    //! Age of a report up to which its answer shows that the hub can be used: one that answers late
+    //! is better than none.
+    static constexpr base::milliseconds MAX_ANSWER_AGE{1000};
     //! Interval at which hubs are asked again to store the record of this node.
     static constexpr base::milliseconds STORE_INTERVAL{100};
     //! Time for which hubs are asked after the last call of `requestStorage`.
@@ -137,6 +140,9 @@
     auto onStoreAnswer(const base::node_id &from, const store_answer &answer) -> void;
     auto onReportAnswer(const base::node_id &from, const report_answer &answer,
                         base::time_point now) -> messages;
+    auto onAnswerOfOtherHub(const base::node_id &from, const report_answer &answer,
+                            base::time_point now) -> messages;
+    auto returnToHub(const base::node_id &hub, base::time_point now) -> messages;
     auto applyDocument(const config_document &document) -> void;
     auto confirmVersion(const base::node_id &from, const report_answer &answer) -> void;
     auto sendReport(base::time_point now) -> messages;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -322,6 +322,26 @@
     }
 }
 
+// Guards against a node that stays with a deputy and keeps an old version after it was cut off from
+// the hubs, because their answers take longer than a probe waits.
+TEST(directory, returnsToHubsThatAnswerLaterThanAProbeWaits)
+{
+    directory_fleet fleet(8, 3);
+    fleet.run(milliseconds(4000));
+    fleet.setCutFromHubs(7, true);
+    fleet.run(milliseconds(3000));
+    CHECK(!fleet.isHub(fleet.node(7).currentHub));
+    fleet.network().setFaults({0.02, 0.02, milliseconds(90), milliseconds(110)});
+    fleet.setCutFromHubs(7, false);
+    fleet.run(milliseconds(1500));
+    for (int hub = 0; hub < 3; ++hub) {
+        fleet.publish(hub, 5);
+    }
+    fleet.run(milliseconds(2500));
+    CHECK_EQUAL(5, fleet.node(7).version);
+    CHECK(fleet.isHub(fleet.node(7).currentHub));
+}
+
 // Guards against nodes that keep an old version because they drop each answer of a hub with the
 // document in it, while the answers take longer than a report waits.
 TEST(directory, learnsVersionsFromAnswersThatTakeLongerThanAReportWaits)
--- a/tests/mesh/changingfleet.cpp
+++ b/tests/mesh/changingfleet.cpp
@@ -60,20 +60,28 @@
 auto changing_fleet::countNodesWithoutRoute() -> int
 {
     int count = 0;
-    mesh_caller caller(m_fleet);
-    const auto path = "/v" + std::to_string(m_version) + "/1";
     for (int edge = 0; edge < m_size.edges; ++edge) {
-        const auto answer = caller.sendTo(edge, "GET", path);
-        const bool isServed = answer && answer->status == 200;
-        if (!isServed) {
-            std::cout << "edge " << edge << " answers " << (answer ? answer->status : 0) << " for "
-                      << path << "\n";
+        const auto status = statusOf(edge, newestPath());
+        if (status != 200) {
+            std::cout << "edge " << edge << " answers " << status << " for " << newestPath()
+                      << "\n";
         }
-        count += isServed ? 0 : 1;
+        count += status == 200 ? 0 : 1;
     }
     return count;
 }
 
+auto changing_fleet::statusOf(int edge, const std::string &path) -> unsigned
+{
+    const auto answer = mesh_caller(m_fleet).sendTo(edge, "GET", path);
+    return answer ? answer->status : 0;
+}
+
+auto changing_fleet::newestPath() const -> std::string
+{
+    return "/v" + std::to_string(m_version) + "/1";
+}
+
 auto changing_fleet::countCoresWithoutVersion() -> int
 {
     int count = 0;
--- a/tests/mesh/changingfleet.h
+++ b/tests/mesh/changingfleet.h
@@ -30,6 +30,12 @@
     //! Number of nodes that don't serve the route that was added last.
     auto countNodesWithoutRoute() -> int;
 
+    //! Status with which an edge node, counted from 0, answers a request for a route; 0 without an
+    //! answer.
+    auto statusOf(int edge, const std::string &path) -> unsigned;
+    //! Path of the route that was added last.
+    [[nodiscard]] auto newestPath() const -> std::string;
+
     //! Number of core nodes that can't tell the current configuration.
     auto countCoresWithoutVersion() -> int;
 
--- /dev/null
+++ b/tests/mesh/lateanswertest.cpp
@@ -0,0 +1,62 @@
+#include "tests/mesh/changingfleet.h"
+
+#include <CppUTest/TestHarness.h>
+#include <thread>
+
+using namespace hawthornpick;
+using meshtest::changing_fleet;
+
+namespace {
+
+constexpr testsupport::fleet_size FLEET_SIZE{5, 6};
+constexpr int LATE_EDGE = 0;
+constexpr base::milliseconds CHANGE_LIMIT{20'000};
+//! Time without hubs after which a node reports to a deputy.
+constexpr base::milliseconds CUT_TIME{3000};
+//! Each way; in both directions together longer than a probe waits.
+constexpr base::milliseconds DELAY{100};
+
+enum class disturbance {
+    None,
+    Delay,
+    Cut,
+};
+
+//! Disturbs the traffic between the late node and the core nodes in both directions.
+auto disturb(changing_fleet &fleet, disturbance kind) -> void
+{
+    auto &nodes = fleet.nodes();
+    const int edge = FLEET_SIZE.cores + LATE_EDGE;
+    std::vector<faultproxy::rule> rules;
+    const auto add = [&](int from, int to) {
+        const auto added =
+                kind == disturbance::Cut ? nodes.cut(from, to) : nodes.delay(from, to, DELAY);
+        rules.insert(rules.end(), added.begin(), added.end());
+    };
+    for (int core = 0; kind != disturbance::None && core < FLEET_SIZE.cores; ++core) {
+        add(edge, core);
+        add(core, edge);
+    }
+    nodes.setFaults(rules);
+}
+
+} // namespace
+
+TEST_GROUP(late_answers){};
+
+// Guards against a node that keeps an old version for good after a cut, because the hubs' answers
+// come later than it waits for them.
+TEST(late_answers, nodeServesAddedRoutesAfterACutAlthoughHubsAnswerLate)
+{
+    changing_fleet fleet("late", FLEET_SIZE);
+    disturb(fleet, disturbance::Cut);
+    std::this_thread::sleep_for(CUT_TIME);
+    disturb(fleet, disturbance::Delay);
+    std::this_thread::sleep_for(changing_fleet::START_TIME);
+    for (int change = 0; change < 4; ++change) {
+        CHECK(fleet.addRoute(CHANGE_LIMIT));
+        std::this_thread::sleep_for(changing_fleet::APPLY_TIME);
+        const int missing = fleet.countNodesWithoutRoute();
+        CHECK_EQUAL(0, missing);
+    }
+}
--- a/tests/support/meshfleet.cpp
+++ b/tests/support/meshfleet.cpp
@@ -174,10 +174,22 @@
 }
 
 auto mesh_fleet::cut(int from, int to) const -> std::vector<faultproxy::rule>
+{
+    return fault(from, to, faultproxy::fault_kind::Cut, 0);
+}
+
+auto mesh_fleet::delay(int from, int to, base::milliseconds time) const
+        -> std::vector<faultproxy::rule>
+{
+    return fault(from, to, faultproxy::fault_kind::Delay, static_cast<std::uint64_t>(time.count()));
+}
+
+auto mesh_fleet::fault(int from, int to, faultproxy::fault_kind kind, std::uint64_t value) const
+        -> std::vector<faultproxy::rule>
 {
     using enum faultproxy::direction;
-    return {{nameOf(to), ip(from), ToTarget, faultproxy::fault_kind::Cut, 0},
-            {nameOf(from), ip(to), FromTarget, faultproxy::fault_kind::Cut, 0}};
+    return {{nameOf(to), ip(from), ToTarget, kind, value},
+            {nameOf(from), ip(to), FromTarget, kind, value}};
 }
 
 auto mesh_fleet::upstreamBeside(int node) -> stand_in_upstream &
--- a/tests/support/meshfleet.h
+++ b/tests/support/meshfleet.h
@@ -81,6 +81,9 @@
     auto setFaults(std::vector<faultproxy::rule> rules) -> void;
     //! Cuts the traffic from one node to another.
     [[nodiscard]] auto cut(int from, int to) const -> std::vector<faultproxy::rule>;
+    //! Delays the traffic from one node to another.
+    [[nodiscard]] auto delay(int from, int to, base::milliseconds time) const
+            -> std::vector<faultproxy::rule>;
 
 private:
     struct stand_in_upstream
@@ -92,6 +95,8 @@
     };
 
     [[nodiscard]] auto ip(int node) const -> std::string;
+    [[nodiscard]] auto fault(int from, int to, faultproxy::fault_kind kind,
+                             std::uint64_t value) const -> std::vector<faultproxy::rule>;
     [[nodiscard]] auto nameOf(int node) const -> std::string;
     auto writeSettings(int node) -> void;
     auto startUpstream(int node) -> void;
