peer: accept the answer to a challenge for longer than datagrams are held

A restarted node is not heard by a peer, so it learns no versions from it. Cause: the nonce of a challenge was dropped together with the held datagrams, 0.5 s after the first of them. A node that takes longer to answer answered a nonce that was no longer known, each time anew. Change: the nonce is kept for 5 s; datagrams are held for 0.5 s as before. A proof still ends all that is pending of its node, so an earlier one can't bring back a former process.

--- a/src/peer/internal/incarnationguard.cpp
+++ b/src/peer/internal/incarnationguard.cpp
@@ -18,6 +18,9 @@
         pending.nonce = m_random.bits() | 1U;
         pending.start = now;
     }
+    if (pending.held.empty()) {
+        pending.heldSince = now;
+    }
     if (pending.held.size() < MAX_HELD_DATAGRAMS) {
         pending.held.push_back(std::move(content));
     }
@@ -50,14 +53,14 @@
 {
     std::vector<held_datagram> expired;
     for (auto item = m_pending.begin(); item != m_pending.end();) {
-        if (now - item->second.start < HOLD_TIME) {
-            ++item;
-            continue;
-        }
         auto &held = item->second.held;
-        expired.insert(expired.end(), std::make_move_iterator(held.begin()),
-                       std::make_move_iterator(held.end()));
-        item = m_pending.erase(item);
+        if (!held.empty() && now - item->second.heldSince >= HOLD_TIME) {
+            expired.insert(expired.end(), std::make_move_iterator(held.begin()),
+                           std::make_move_iterator(held.end()));
+            held.clear();
+        }
+        const bool isOver = held.empty() && now - item->second.start >= PROOF_TIME;
+        item = isOver ? m_pending.erase(item) : std::next(item);
     }
     return expired;
 }
--- a/src/peer/internal/incarnationguard.h
+++ b/src/peer/internal/incarnationguard.h
@@ -42,6 +42,9 @@
     static constexpr base::milliseconds CHALLENGE_INTERVAL{100};
     //! Time for which datagrams are held; covers several round trips between regions.
     static constexpr base::milliseconds HOLD_TIME{500};
+    //! Time for which the answer to a challenge counts. Longer than `HOLD_TIME`, because the node
+    //! may be too slow to answer while its datagrams are held.
+    static constexpr base::milliseconds PROOF_TIME{5000};
     //! Maximum number of datagrams held for each sender; further ones are refused.
     static constexpr std::size_t MAX_HELD_DATAGRAMS = 32;
 
@@ -71,6 +74,8 @@
         std::uint64_t nonce = 0;
         base::time_point start;
         base::time_point lastChallenge;
+        //! Arrival of the first held datagram.
+        base::time_point heldSince;
         std::vector<held_datagram> held;
     };
 
--- a/src/peer/tests/incarnationguardtest.cpp
+++ b/src/peer/tests/incarnationguardtest.cpp
@@ -190,6 +190,21 @@
     CHECK(guard.onProof(SENDER, 4, *nonce).accepted.empty());
 }
 
+// Guards against a node that is never heard after its restart, because it answers each challenge
+// later than datagrams are held.
+TEST(incarnation_guard, acceptsAProofThatComesLaterThanDatagramsAreHeld)
+{
+    incarnation_guard guard(1);
+    CHECK(guard.isCurrent(SENDER, 9));
+    const auto nonce = guard.hold(datagramOf(4), START);
+    const auto later = START + incarnation_guard::HOLD_TIME + milliseconds(200);
+    CHECK_EQUAL(1U, guard.expire(START + incarnation_guard::HOLD_TIME).size());
+    CHECK(guard.hold(datagramOf(4), later).has_value());
+    const auto released = guard.onProof(SENDER, 4, *nonce);
+    CHECK_EQUAL(1U, released.accepted.size());
+    CHECK(guard.isCurrent(SENDER, 4));
+}
+
 // Guards against both faults at once under loss, duplication, long delays, cuts and restarts with
 // clocks stepped in both directions: the current process is heard within a second, and a former
 // one isn't after it.
