caller, app: don't deny requests out of an outdated configuration

What callers saw: 404, 401 or 403 for routes and keys that had been added, from a node that had lost the hubs, as if it were sure. Cause: a mesh node denied requests out of a configuration of any age. Only serve asked whether the configuration was current. Whatever delays a version, this turned the delay into a false statement. Change: a mesh node still serves what its configuration allows, however old it is. From 1.4 s after a fresh hub last confirmed the version, it refuses the rest with config_not_current (503, not run, Retry-After), so that callers go elsewhere. Both modes use the same hook; its new companion outdated_configuration_use tells which requests it concerns.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -23,6 +23,10 @@
 //! Below the one second after which upstreams repeat an announcement.
 constexpr base::milliseconds DEPARTURE_TIMEOUT{800};
 
+//! Time after its confirmation for which a version counts as the newest one. Together with the age
+//! of what the hub knew, it is below the time within which a version must be in force everywhere;
+//! it covers the loss of one report.
+constexpr base::milliseconds MAX_CONFIRMATION_AGE{1400};
 //! Least time between log lines about late answers of hubs.
 constexpr base::milliseconds LATE_ANSWER_LOG_INTERVAL{10'000};
 
@@ -284,6 +288,12 @@
             std::make_shared<const config::snapshot>(document.version, std::move(*configSet)));
 }
 
+auto mesh_control::isConfigurationCurrent(base::time_point now) const -> bool
+{
+    return m_appliedVersion > 0 && m_appliedVersion == m_reporter.configVersion()
+           && now - m_reporter.confirmation().time <= MAX_CONFIRMATION_AGE;
+}
+
 auto mesh_control::setUpstreams(std::vector<membership::upstream_entry> upstreams) -> void
 {
     m_reporter.setUpstreams(std::move(upstreams));
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -74,6 +74,10 @@
         return m_reporter.confirmation();
     }
 
+    //! Returns true if the configuration in force was known to be the newest one
+    //! a short time ago.
+    [[nodiscard]] auto isConfigurationCurrent(base::time_point now) const -> bool;
+
     //! Announces to the fleet that this node stops.
     auto leave() -> void;
 
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -324,6 +324,10 @@
         hooks.onAttemptEnd = [this](const caller::attempt_report &report) {
             onAttemptEnd(report);
         };
+        hooks.isConfigurationCurrent = [this] {
+            return m_control.isConfigurationCurrent(base::clock::now());
+        };
+        hooks.outdatedUse = caller::outdated_configuration_use::AllowedRequests;
         hooks.canFinishBy = [this](base::time_point deadline) {
             const auto now = base::clock::now();
             return !m_drainStartTime || now < *m_drainStartTime + FULL_ADMISSION_TIME
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -177,14 +177,25 @@
     std::function<void(idempotency_request request, std::uint64_t claim)> release;
 };
 
+//! What an entry node does with requests while its configuration may not be the newest one.
+enum class outdated_configuration_use : std::uint8_t {
+    //! Refuses all requests.
+    None,
+    //! Serves the requests that the configuration allows. The others are refused with
+    //! `ConfigNotCurrent`, because a newer configuration may allow them.
+    AllowedRequests,
+};
+
 //! Decisions and observers that other modules supply to the handling of caller requests. All
 //! functions except `selectNode` may be empty; an empty one allows everything, or observes nothing.
 //! Thread safety: the functions are called on the I/O threads, possibly concurrently, and must not
 //! block; coroutines resume on the calling thread.
 struct entry_hooks
 {
-    //! Returns true while this node holds a valid currency lease.
+    //! Returns true while the configuration of this node is known to be the newest one or was so
+    //! until recently.
     std::function<bool()> isConfigurationCurrent;
+    outdated_configuration_use outdatedUse = outdated_configuration_use::None;
     //! Returns false if a request with this deadline might not end before the node stops.
     std::function<bool(base::time_point deadline)> canFinishBy;
     //! Takes one token from the rate limit of the organisation.
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -29,6 +29,25 @@
 constexpr std::uint32_t ROUTE_PRIORITY_COUNT = 4;
 constexpr std::size_t MAX_IDEMPOTENCY_KEY_BYTES = 256;
 
+// Time within which the configuration of a node in touch with the controllers is confirmed.
+constexpr base::milliseconds CONFIRMATION_RETRY_AFTER{500};
+
+// Returns true if another configuration may allow the request.
+auto deniesByConfiguration(error_kind kind) -> bool
+{
+    switch (kind) {
+    case error_kind::NoRoute:
+    case error_kind::MethodNotAllowed:
+    case error_kind::KeyMissing:
+    case error_kind::KeyInvalid:
+    case error_kind::BodyTooLarge:
+    case error_kind::IdempotencyKeyRequired:
+        return true;
+    default:
+        return false;
+    }
+}
+
 auto refuse(error_kind kind, std::string detail = {}) -> std::optional<refusal>
 {
     return refusal{{kind, std::move(detail)}, {}};
@@ -238,7 +257,7 @@
          {&request_handler::checkPreconditions, &request_handler::matchRoute,
           &request_handler::authenticate, &request_handler::checkIdempotencyKey}) {
         if (auto refused = (this->*step)()) {
-            co_return refused;
+            co_return withCertainReason(std::move(*refused));
         }
     }
     co_return co_await checkRateLimit();
@@ -257,13 +276,28 @@
     if (m_snapshot->version() == 0) {
         return refuse(error_kind::NoConfiguration);
     }
-    const auto &isConfigurationCurrent = m_entryContext.dependencies().hooks.isConfigurationCurrent;
-    if (isConfigurationCurrent && !isConfigurationCurrent()) {
+    const auto outdatedUse = m_entryContext.dependencies().hooks.outdatedUse;
+    if (outdatedUse == outdated_configuration_use::None && !isConfigurationCurrent()) {
         return refuse(error_kind::ConfigNotCurrent);
     }
     return {};
 }
 
+auto request_handler::isConfigurationCurrent() const -> bool
+{
+    const auto &isCurrent = m_entryContext.dependencies().hooks.isConfigurationCurrent;
+    return !isCurrent || isCurrent();
+}
+
+auto request_handler::withCertainReason(refusal refused) const -> refusal
+{
+    if (!deniesByConfiguration(refused.error.kind) || isConfigurationCurrent()) {
+        return refused;
+    }
+    return {{error_kind::ConfigNotCurrent, std::string(base::answerFor(refused.error.kind).reason)},
+            CONFIRMATION_RETRY_AFTER};
+}
+
 auto request_handler::matchRoute() -> optional_refusal
 {
     const auto match = m_snapshot->match(m_head.host, m_head.path, m_head.method);
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -84,6 +84,8 @@
     auto process() -> task<optional_refusal>;
     auto admit() -> task<optional_refusal>;
     auto checkPreconditions() -> optional_refusal;
+    auto isConfigurationCurrent() const -> bool;
+    auto withCertainReason(refusal refused) const -> refusal;
     auto matchRoute() -> optional_refusal;
     auto authenticate() -> optional_refusal;
     auto checkIdempotencyKey() -> optional_refusal;
--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -299,6 +299,38 @@
     CHECK_EQUAL(1, static_cast<int>(upstream.heads().size()));
 }
 
+// Guards against a node that denies a request out of an outdated configuration as if it were sure,
+// and against one that refuses what any configuration allows.
+TEST(request_path_test, outdatedConfigurationServesButDoesNotDeny)
+{
+    scripted_upstream upstream(respondWith("hello"));
+    std::atomic<bool> isCurrent{false};
+    test_node node("n1", testConfiguration(), 100, [&](caller::entry_hooks &hooks) {
+        hooks.isConfigurationCurrent = [&] {
+            return isCurrent.load();
+        };
+        hooks.outdatedUse = caller::outdated_configuration_use::AllowedRequests;
+    });
+    node.announce("u1", upstream.port());
+    STRCMP_CONTAINS("200 OK", exchange(node.port(), "GET /open HTTP/1.1\r\nHost: x\r\n"
+                                                    "Connection: close\r\n\r\n")
+                                      .c_str());
+    const std::vector<std::string> denied{"GET /unknown HTTP/1.1\r\n", "GET /keyed HTTP/1.1\r\n",
+                                          "GET /keyed HTTP/1.1\r\nX-Api-Key: other\r\n",
+                                          "POST /small HTTP/1.1\r\nContent-Length: 101\r\n"};
+    const std::vector<std::string> reasons{"no_route", "key_missing", "key_invalid",
+                                           "body_too_large"};
+    for (std::size_t i = 0; i < denied.size(); ++i) {
+        const auto request = denied.at(i) + "Host: x\r\nConnection: close\r\n\r\n";
+        isCurrent = false;
+        STRCMP_CONTAINS("X-Hawthornpick-Reason: config_not_current\r\n",
+                        exchange(node.port(), request).c_str());
+        isCurrent = true;
+        STRCMP_CONTAINS(("X-Hawthornpick-Reason: " + reasons.at(i) + "\r\n").c_str(),
+                        exchange(node.port(), request).c_str());
+    }
+}
+
 // Guards against a truncated response that looks complete to the caller.
 TEST(request_path_test, truncatedResponseClosesTheCallerConnection)
 {
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -127,6 +127,8 @@
     //! the node with `sequence` or a later one.
     [[nodiscard]] auto isStored(std::uint64_t sequence) const -> bool;
 
+    //! Highest version that was passed to `onDocument`.
+    [[nodiscard]] auto configVersion() const -> base::config_version { return m_configVersion; }
     [[nodiscard]] auto confirmation() const -> const version_confirmation &
     {
         return m_confirmation;
--- a/tests/mesh/lateanswertest.cpp
+++ b/tests/mesh/lateanswertest.cpp
@@ -60,3 +60,25 @@
         CHECK_EQUAL(0, missing);
     }
 }
+
+// Guards against a node that says that a route doesn't exist, although it can't know.
+TEST(late_answers, nodeOutOfTouchDoesNotDenyRoutesThatWereAdded)
+{
+    changing_fleet fleet("late", FLEET_SIZE);
+    CHECK(fleet.addRoute(CHANGE_LIMIT));
+    std::this_thread::sleep_for(changing_fleet::APPLY_TIME);
+    const auto knownPath = fleet.newestPath();
+    disturb(fleet, disturbance::Cut);
+    CHECK(fleet.addRoute(CHANGE_LIMIT));
+    std::this_thread::sleep_for(changing_fleet::APPLY_TIME);
+    const auto addedStatus = fleet.statusOf(LATE_EDGE, fleet.newestPath());
+    CHECK_EQUAL(503U, addedStatus);
+    const auto knownStatus = fleet.statusOf(LATE_EDGE, knownPath);
+    CHECK_EQUAL(200U, knownStatus);
+    disturb(fleet, disturbance::None);
+    std::this_thread::sleep_for(changing_fleet::START_TIME);
+    const int missing = fleet.countNodesWithoutRoute();
+    CHECK_EQUAL(0, missing);
+    const auto unknownStatus = fleet.statusOf(LATE_EDGE, "/never-existed/1");
+    CHECK_EQUAL(404U, unknownStatus);
+}
