control: move the disk thread of the quorum into a type of its own

Cause: the departures of upstreams need the same thread for their file. Change: disk_worker has the loop of storage_worker; storage_worker keeps its interface and its file.

--- a/src/quorum/internal/storageworker.cpp
+++ b/src/quorum/internal/storageworker.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-//! Delay before the next attempt after a failed disk access.
-constexpr base::milliseconds RETRY_DELAY{250};
 //! Sum of the document sizes of the writes since the last full rewrite. Above it, the next write
 //! replaces the file by one that contains only the newest state.
 constexpr std::size_t COMPACTION_THRESHOLD_BYTES = 4UL * 1024 * 1024;
@@ -80,6 +78,8 @@
     base::log(base::log_level::Error, "data folder failed", {{"error", error.detail}});
 }
 
+} // namespace
+
 //! Durable state in the files of one folder. Reopens the files after each failure.
 class state_file
 {
@@ -148,70 +148,21 @@
     std::size_t m_contentBytesSinceRewrite = 0;
 };
 
-} // namespace
-
 storage_worker::storage_worker(std::string folder, loaded_function onLoaded,
                                written_function onWritten)
-    : m_folder(std::move(folder)), m_onLoaded(std::move(onLoaded)),
-      m_onWritten(std::move(onWritten)), m_thread([this] { run(); })
+    : m_file(std::make_unique<state_file>(std::move(folder))),
+      m_worker({[this] { return m_file->load(); },
+                [this](const storage_job &job) { return m_file->write(job); }, std::move(onLoaded),
+                [onWritten = std::move(onWritten)](const storage_job &job) {
+                    onWritten(job.revision);
+                }})
 {}
 
-storage_worker::~storage_worker()
-{
-    {
-        const std::lock_guard lock(m_mutex);
-        m_isStopping = true;
-    }
-    m_wake.notify_all();
-    m_thread.join();
-}
+storage_worker::~storage_worker() = default;
 
 auto storage_worker::write(storage_job job) -> void
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_job = std::move(job);
-    }
-    m_wake.notify_all();
-}
-
-auto storage_worker::run() -> void
-{
-    state_file file(m_folder);
-    auto loaded = file.load();
-    while (!loaded) {
-        if (!waitBeforeRetry()) {
-            return;
-        }
-        loaded = file.load();
-    }
-    m_onLoaded(std::move(*loaded));
-    while (const auto job = waitForJob()) {
-        while (!file.write(*job)) {
-            if (!waitBeforeRetry()) {
-                return;
-            }
-        }
-        m_onWritten(job->revision);
-    }
-}
-
-auto storage_worker::waitForJob() -> std::optional<storage_job>
-{
-    std::unique_lock lock(m_mutex);
-    m_wake.wait(lock, [this] { return m_job || m_isStopping; });
-    if (m_isStopping) {
-        return std::nullopt;
-    }
-    return std::exchange(m_job, std::nullopt);
-}
-
-// Waits for `RETRY_DELAY`; returns false if the worker is stopping.
-auto storage_worker::waitBeforeRetry() -> bool
-{
-    std::unique_lock lock(m_mutex);
-    m_wake.wait_for(lock, RETRY_DELAY, [this] { return m_isStopping; });
-    return !m_isStopping;
+    m_worker.write(std::move(job));
 }
 
 } // namespace hawthornpick::quorum
--- a/src/quorum/storageworker.h
+++ b/src/quorum/storageworker.h
@@ -1,16 +1,16 @@
 #pragma once
 
+#include "control/diskworker.h"
 #include "quorum/replica.h"
 
-#include <condition_variable>
 #include <functional>
-#include <mutex>
-#include <optional>
+#include <memory>
 #include <string>
-#include <thread>
 
 namespace hawthornpick::quorum {
 
+class state_file;
+
 //! Loads and writes the durable state of a replica on a separate thread, because a sync may block
 //! for seconds. A failed write is repeated until it succeeds; until then the replica acknowledges
 //! nothing that depends on it.
@@ -36,18 +36,9 @@
     auto write(storage_job job) -> void;
 
 private:
-    auto run() -> void;
-    auto waitForJob() -> std::optional<storage_job>;
-    auto waitBeforeRetry() -> bool;
-
-    std::string m_folder;
-    loaded_function m_onLoaded;
-    written_function m_onWritten;
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::optional<storage_job> m_job;
-    bool m_isStopping = false;
-    std::thread m_thread;
+    std::unique_ptr<state_file> m_file;
+    // The last member, so that its thread ends before the file is destroyed.
+    control::disk_worker<durable_state, storage_job> m_worker;
 };
 
 } // namespace hawthornpick::quorum
