fleet, app: keep departures on the disks of the hubs

What callers saw: requests reach an upstream that has withdrawn, from about a second after a restart of the whole fleet until the upstream exits. Cause: an acknowledged departure was kept in the memory of the node, of its hubs and of the other nodes only. When all of them end at once, as by a loss of power, nobody knows of it, and a late heartbeat brings the upstream back into use. Change: a hub writes the departures in its directory to a file and answers a store request once the file has them (departure_journal, a decision object; departure_store does the I/O on its own thread). It reads the file before it calls its directory complete.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -22,6 +22,8 @@
 constexpr base::milliseconds MAX_LEADER_CONTACT_AGE{1000};
 //! Below the one second after which upstreams repeat an announcement.
 constexpr base::milliseconds DEPARTURE_TIMEOUT{800};
+//! Folder within the data folder, because its file has a log and a lock of its own.
+constexpr const char *DEPARTURE_FOLDER = "/departures";
 
 //! Time after its confirmation for which a version counts as the newest one. Together with the age
 //! of what the hub knew, it is below the time within which a version must be in force everywhere;
@@ -160,7 +162,7 @@
     }
     quorumSettings.dataFolder = settings.dataFolder;
     m_hub.emplace(
-            fleet::hub_options{quorumSettings.replica.contacts, m_bootId}, m_reporter,
+            fleet::hub_options{quorumSettings.replica.contacts, m_bootId, false, true}, m_reporter,
             [this](base::time_point now) { return m_quorum->isFresh(now, MAX_LEADER_CONTACT_AGE); },
             m_callbacks.isNearLimit);
     m_quorum.emplace(
@@ -172,6 +174,19 @@
             base::systemSeed(),
             [this](quorum::quorum_node::task task) { m_runtime.post(std::move(task)); },
             [this](const quorum::value_pointer &value) { onCommitted(value); });
+    m_departureStore.emplace(
+            settings.dataFolder + DEPARTURE_FOLDER,
+            [this](std::string content) {
+                m_runtime.post([this, content = std::move(content)](base::time_point now) {
+                    m_hub->onDeparturesLoaded(content, now);
+                    return messages{};
+                });
+            },
+            [this](std::uint64_t revision) {
+                m_runtime.post([this, revision](base::time_point /*now*/) {
+                    return m_hub->onDeparturesWritten(revision);
+                });
+            });
     m_runtime.onMessage(
             base::channel::Quorum,
             [this](const base::node_id &from, std::string_view payload, base::time_point now) {
@@ -216,6 +231,7 @@
     auto outgoing = m_reporter.receive(from, *content, now);
     auto hubMessages = m_hub ? m_hub->receive(from, *content, now)
                              : runDeputy([&] { return m_deputy.receive(from, *content, now); });
+    writeDepartures();
     outgoing.insert(outgoing.end(), hubMessages.begin(), hubMessages.end());
     return outgoing;
 }
@@ -253,9 +269,17 @@
     for (auto &batch : {m_hub->tick(now), m_quorum->tick(now)}) {
         outgoing.insert(outgoing.end(), batch.begin(), batch.end());
     }
+    writeDepartures();
     return outgoing;
 }
 
+auto mesh_control::writeDepartures() -> void
+{
+    if (auto content = m_hub ? m_hub->takeDepartureWrite() : std::nullopt) {
+        m_departureStore->write(std::move(*content));
+    }
+}
+
 auto mesh_control::onCommitted(const quorum::value_pointer &value) -> void
 {
     if (value->version == 0) {
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "app/internal/controltraffic.h"
+#include "app/internal/departurestore.h"
 #include "app/meshadapter.h"
 #include "config/meshsettings.h"
 #include "config/snapshot.h"
@@ -111,6 +112,7 @@
     auto onLateAnswer(const base::node_id &from, base::duration answerTime) -> void;
     auto onCommitted(const quorum::value_pointer &value) -> void;
     auto wakeStorageWaits() -> void;
+    auto writeDepartures() -> void;
     auto applyDocument(const fleet::config_document &document) -> void;
     auto countSent(const base::outgoing_message &message) -> void;
 
@@ -136,6 +138,8 @@
     base::config_version m_appliedVersion = 0;
     //! Timers of the calls of `awaitUpstreamsStored`; cancelled when a hub has stored the record.
     std::set<boost::asio::steady_timer *> m_storageWaits;
+    // The last member, so that its thread ends before the other members are destroyed.
+    std::optional<departure_store> m_departureStore;
 };
 
 } // namespace hawthornpick::app
--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -2,6 +2,7 @@
 
 #include "base/message.h"
 #include "base/time.h"
+#include "fleet/departurejournal.h"
 #include "fleet/recordtable.h"
 #include "fleet/reporter.h"
 
@@ -21,6 +22,8 @@
     //! True for a node that replaces the hubs while none is reachable: it has no configuration
     //! documents, and exchanges records and usage only with other deputies.
     bool isDeputy = false;
+    //! True if the departures of upstreams are kept in a file; see `takeDepartureWrite`.
+    bool keepsDepartures = false;
 };
 
 //! Decision object of a node that maintains the directory for other nodes: collects their reports,
@@ -60,6 +63,8 @@
     //! Time after its start in which a hub collects the directory, unless a hub or a node with a
     //! complete one tells it earlier: one report interval and the exchange between hubs.
     static constexpr base::milliseconds DIRECTORY_COLLECTION_TIME{700};
+    //! As `DIRECTORY_COLLECTION_TIME`, for a hub whose file of departures can't be read.
+    static constexpr base::milliseconds DEPARTURE_LOAD_TIMEOUT{5000};
 
     //! Interval at which changed usage is sent to the other hubs of the region, and totals near a
     //! limit to nodes. Short, because an organisation that suddenly sends many times its usual load
@@ -91,6 +96,15 @@
     //! Precondition: the state of the reporter is `Leaving`.
     auto leave(base::time_point now) -> messages;
 
+    //! Takes over the content of the file of departures. Precondition: `keepsDepartures`, and not
+    //! called before.
+    auto onDeparturesLoaded(std::string_view content, base::time_point now) -> void;
+    //! Returns new content of the file of departures, if it must be written now; to be called after
+    //! each other call of a member function. Nothing is returned until `onDeparturesWritten` was
+    //! called for the last write.
+    auto takeDepartureWrite() -> std::optional<departure_write>;
+    auto onDeparturesWritten(std::uint64_t revision) -> messages;
+
     //! Merges records that the node received from elsewhere.
     auto mergeRecords(const record_table &records) -> void;
 
@@ -134,8 +148,8 @@
             -> messages;
     auto onSyncAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
             -> void;
-    [[nodiscard]] auto onStoreRequest(const base::node_id &from, const store_request &content)
-            -> messages;
+    [[nodiscard]] auto onStoreRequest(const base::node_id &from, const store_request &content,
+                                      base::time_point now) -> messages;
     //! Stores what another node knows about the departures of upstreams.
     auto mergeDepartures(const std::vector<node_record> &records) -> void;
     [[nodiscard]] auto isDirectoryComplete(base::time_point now) const -> bool;
@@ -181,6 +195,7 @@
     //! All regions but the own one.
     std::map<base::region_id, region_state> m_otherRegions;
     config_document m_document;
+    std::optional<departure_journal> m_journal;
     std::optional<base::time_point> m_firstTickAt;
     //! True once a hub with a complete directory has sent its changes, or a node the departures
     //! that it knows.
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -139,6 +139,11 @@
   2: i32 covered_nodes
 }
 
+// File in which a hub keeps the departures of upstreams.
+struct departure_file {
+  1: list<node_record> records
+}
+
 struct message {
   1: optional report node_report
   2: optional report_answer answer
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -33,6 +33,9 @@
       m_isNearLimit(std::move(isNearLimit)), m_records(m_options.bootId)
 {
     m_records.merge(self());
+    if (m_options.keepsDepartures) {
+        m_journal.emplace();
+    }
 }
 
 auto hub::receive(const base::node_id &from, const message &content, base::time_point now)
@@ -51,7 +54,7 @@
         onUsageUpdate(from, *update);
     }
     if (const auto *request = std::get_if<store_request>(&content)) {
-        return onStoreRequest(from, *request);
+        return onStoreRequest(from, *request, now);
     }
     return {};
 }
@@ -69,6 +72,9 @@
     if (now >= m_nextSyncAt) {
         m_nextSyncAt = now + SYNC_INTERVAL;
         expireSilentReporters(now);
+        if (m_journal) {
+            m_journal->update(m_records, now);
+        }
         auto requests = sendSyncRequests(now);
         out.insert(out.end(), requests.begin(), requests.end());
     }
@@ -226,14 +232,20 @@
     }
 }
 
-auto hub::onStoreRequest(const base::node_id &from, const store_request &content) -> messages
+auto hub::onStoreRequest(const base::node_id &from, const store_request &content,
+                         base::time_point now) -> messages
 {
     if (m_options.isDeputy) {
         return {};
     }
     m_records.merge(content.sender);
     const auto &stored = *m_records.find(content.sender.entry.id);
-    return {toOutgoingMessage(from, store_answer{stored.generation, stored.sequence})};
+    auto answer = toOutgoingMessage(from, store_answer{stored.generation, stored.sequence});
+    if (!m_journal) {
+        return {std::move(answer)};
+    }
+    m_journal->update(m_records, now);
+    return m_journal->sendWhenDurable(std::move(answer));
 }
 
 // A node that hasn't reported here may have ended: its record is stored as dead, and as older than
@@ -251,9 +263,25 @@
 
 auto hub::isDirectoryComplete(base::time_point now) const -> bool
 {
+    const bool isFileMissing = m_journal && !m_journal->isLoaded();
+    const auto collectionTime = isFileMissing ? DEPARTURE_LOAD_TIMEOUT : DIRECTORY_COLLECTION_TIME;
     return !m_options.isDeputy
-           && (m_hasCompleteDirectory
-               || (m_firstTickAt && now - *m_firstTickAt >= DIRECTORY_COLLECTION_TIME));
+           && (m_hasCompleteDirectory || (m_firstTickAt && now - *m_firstTickAt >= collectionTime));
+}
+
+auto hub::onDeparturesLoaded(std::string_view content, base::time_point now) -> void
+{
+    mergeDepartures(m_journal->onLoaded(content, now));
+}
+
+auto hub::takeDepartureWrite() -> std::optional<departure_write>
+{
+    return m_journal ? m_journal->takeWrite() : std::nullopt;
+}
+
+auto hub::onDeparturesWritten(std::uint64_t revision) -> messages
+{
+    return m_journal->onWritten(revision);
 }
 
 auto hub::onUsageUpdate(const base::node_id &from, const usage_update &content) -> void
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -519,6 +519,19 @@
     return {to, base::channel::Directory, encodeMessage(content), kindName(content)};
 }
 
+auto encodeRecords(const std::vector<node_record> &records) -> std::string
+{
+    wire::departure_file file;
+    file.records = toWire(records);
+    return base::encodeThrift(file);
+}
+
+auto decodeRecords(std::string_view bytes) -> std::vector<node_record>
+{
+    const auto file = base::decodeThrift<wire::departure_file>(bytes);
+    return file ? fromWire(file->records) : std::vector<node_record>();
+}
+
 auto nodeIdOf(const membership::endpoint &peerAddress) -> base::node_id
 {
     return base::node_id(membership::toString(peerAddress));
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -237,6 +237,13 @@
 //! Returns nothing if the bytes are not a valid message. Thread safety: pure.
 auto decodeMessage(std::string_view bytes) -> std::optional<message>;
 
+//! Encodes records for a file. Thread safety: pure.
+auto encodeRecords(const std::vector<node_record> &records) -> std::string;
+
+//! Returns the valid ones of encoded records; none if the bytes can't be decoded. Thread safety:
+//! pure.
+auto decodeRecords(std::string_view bytes) -> std::vector<node_record>;
+
 //! Returns the id of the node with this peer address. Thread safety: pure.
 auto nodeIdOf(const membership::endpoint &peerAddress) -> base::node_id;
 
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -86,6 +86,8 @@
     bool hasCompleteDirectory = false;
     bool isFresh = true;
     int lateAnswerCount = 0;
+    //! File of departures, which outlives restarts.
+    std::string disk;
 };
 
 //! Nodes in a virtual network; the first `hubCount` of them are hubs. Even and odd nodes are in
@@ -164,8 +166,10 @@
                                                       isNearLimit);
         if (isHub) {
             node.hub = std::make_unique<fleet::hub>(
-                    fleet::hub_options{m_contacts, m_network.random().bits()}, *node.reporter,
-                    [&node](base::time_point) { return node.isFresh; }, isNearLimit);
+                    fleet::hub_options{m_contacts, m_network.random().bits(), false, true},
+                    *node.reporter, [&node](base::time_point) { return node.isFresh; },
+                    isNearLimit);
+            node.hub->onDeparturesLoaded(node.disk, m_network.now());
         }
         attach(index);
     }
@@ -254,6 +258,11 @@
             auto out = node.reporter->tick(now);
             auto hubMessages = node.hub ? node.hub->tick(now) : node.deputy->tick(now);
             out.insert(out.end(), hubMessages.begin(), hubMessages.end());
+            if (auto write = node.hub ? node.hub->takeDepartureWrite() : std::nullopt) {
+                node.disk = write->content;
+                auto answers = node.hub->onDeparturesWritten(write->revision);
+                out.insert(out.end(), answers.begin(), answers.end());
+            }
             return out;
         };
         m_network.attach(nodeIdOf(index), receive, tick);
@@ -935,6 +944,54 @@
     }
 }
 
+// Guards against a stored departure that is forgotten when all processes of the fleet end at once
+// and one hub loses its disk.
+TEST(directory, keepsStoredDeparturesThroughRestartsOfTheWholeFleet)
+{
+    constexpr int NODE = 7;
+    constexpr int HUBS = 3;
+    constexpr int NODES = 9;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        base::random_source random(seed);
+        directory_fleet fleet(NODES, HUBS);
+        fleet.network().setFaults({0.05, 0.05});
+        fleet.run(milliseconds(4000));
+        std::vector<membership::upstream_entry> stored;
+        for (std::uint64_t generation = 2; generation < 8; ++generation) {
+            const auto added = makeLeftUpstream("u" + std::to_string(generation), generation);
+            auto upstreams = stored;
+            upstreams.push_back(added);
+            auto &reporter = *fleet.node(NODE).reporter;
+            reporter.setUpstreams(upstreams);
+            const auto sequence = reporter.self().sequence;
+            fleet.network().send(nodeIdOf(NODE), reporter.requestStorage(fleet.network().now()));
+            for (int i = 0; i < 40 && !reporter.isStored(sequence); ++i) {
+                fleet.run(milliseconds(25));
+            }
+            if (reporter.isStored(sequence)) {
+                stored.push_back(added);
+            }
+            const auto wiped = static_cast<int>(random.below(HUBS));
+            fleet.node(wiped).disk.clear();
+            for (int i = 0; i < NODES; ++i) {
+                fleet.network().crash(nodeIdOf(i));
+            }
+            fleet.run(milliseconds(random.below(200)));
+            for (int i = 0; i < NODES; ++i) {
+                fleet.startNode(i, i < HUBS, generation);
+            }
+            fleet.run(milliseconds(3000));
+            for (const auto &departed : stored) {
+                CHECK_TEXT(
+                        fleet.hasBeenToldOfDeparture(NODE, departed.id.str(), departed.incarnation),
+                        ("seed " + std::to_string(seed) + ", upstream " + departed.id.str())
+                                .c_str());
+            }
+        }
+        CHECK(stored.size() >= 5);
+    }
+}
+
 // Guards against a departure that counts as stored and is forgotten: one node restarts again and
 // again, each time together with a hub, with messages lost and hubs cut off.
 TEST(directory, keepsStoredDeparturesThroughRestarts)
--- a/tests/mesh/departuretest.cpp
+++ b/tests/mesh/departuretest.cpp
@@ -196,6 +196,26 @@
     fleet.checkLeaverIsUnused();
 }
 
+// Guards against a departure that nobody knows of after all processes have ended at once.
+TEST(departure, withdrawalHoldsAfterARestartOfTheWholeFleet)
+{
+    departure_fleet fleet;
+    CHECK(fleet.waitUntilUsed());
+    auto &nodes = fleet.nodes();
+    nodes.setHeartbeats(fleet.leaver(), false);
+    CHECK(fleet.waitFor([&] { return nodes.withdrawUpstream(fleet.leaver()) == 200; }));
+    for (int node = 0; node < nodes.size(); ++node) {
+        nodes.kill(node);
+    }
+    for (int node = 0; node < nodes.size(); ++node) {
+        nodes.start(node);
+    }
+    CHECK(fleet.deliverLateHeartbeat());
+    std::this_thread::sleep_for(std::max(DRAIN_TIME, START_TIME));
+    CHECK(mesh_caller(nodes).sendTo(1, "GET", "/r/1").has_value());
+    fleet.checkLeaverIsUnused();
+}
+
 // Guards against a node that restarts while it is cut off from the core and uses an upstream of
 // which it doesn't know whether it has left.
 TEST(departure, withdrawalHoldsAfterARestartDuringACut)
