caller: let one attempt alone write a streamed response

What callers saw: downloads over 1 MiB with bytes of another response in the middle (MIXED); processes that end by SIGSEGV or SIGABRT, and downloads that stop midway on an open connection (LOST). Cause: an attempt whose response exceeds the buffer wrote to the caller while others went on: a hedge due by a timer set before was launched and wrote its own head into the body. A hedge that was refused at once ended the request as served, so that the handler and its writer were destroyed while the stream was suspended in them. Change: an attempt that begins to stream cancels and detaches all others; no hedge or retry is launched after that; the ends of the others are ignored, and the request ends with the streaming attempt only. If that fails, the connection is reset.

--- a/src/caller/internal/attemptset.cpp
+++ b/src/caller/internal/attemptset.cpp
@@ -41,10 +41,10 @@
 
 auto buffered_response::startStreaming() -> asio::awaitable<base::result<void>>
 {
-    m_isStreaming = true;
     if (!m_onOverflow) {
         co_return base::fail(error_kind::CallerGone);
     }
+    m_isStreaming = true;
     co_return co_await m_onOverflow(*std::exchange(m_start, std::nullopt));
 }
 
@@ -102,10 +102,24 @@
 {
     for (const auto &attempt : m_runningAttempts) {
         if (attempt.get() != kept) {
-            attempt->response.detach();
-            attempt->cancel.request(reason);
+            cancel(*attempt, reason);
         }
     }
 }
 
+auto attempt_set::cancelAllButStreaming(base::error_kind reason) -> void
+{
+    for (const auto &attempt : m_runningAttempts) {
+        if (!attempt->response.isStreaming()) {
+            cancel(*attempt, reason);
+        }
+    }
+}
+
+auto attempt_set::cancel(attempt_state &attempt, base::error_kind reason) -> void
+{
+    attempt.response.detach();
+    attempt.cancel.request(reason);
+}
+
 } // namespace hawthornpick::caller
--- a/src/caller/internal/attemptset.h
+++ b/src/caller/internal/attemptset.h
@@ -120,6 +120,9 @@
     //! Cancels all attempts in flight except `kept`; null cancels all.
     auto cancelOthers(const attempt_state *kept, base::error_kind reason) -> void;
 
+    //! Cancels all attempts in flight but the one whose response is being streamed to the caller.
+    auto cancelAllButStreaming(base::error_kind reason) -> void;
+
 private:
     // State shared with the coroutines of the attempts, which may end after the set is destroyed.
     struct shared
@@ -134,6 +137,7 @@
         bool isExpired = false;
     };
 
+    static auto cancel(attempt_state &attempt, base::error_kind reason) -> void;
     static auto runToEnd(attempt_runner runAttempt, attempt_pointer attempt,
                          upstream::body_source source, std::shared_ptr<shared> state)
             -> boost::asio::awaitable<void>;
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -159,6 +159,8 @@
     bool m_isBodyConsumed = false;
     attempt_set m_attempts;
     base::time_point m_hedgeTime = base::time_point::max();
+    // True once a complete response has been written that was not streamed.
+    bool m_isResponseWritten = false;
     // Attempt with a 5xx response, which is sent to the caller if no other attempt succeeds.
     attempt_pointer m_fallbackAttempt;
 };
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -140,7 +140,7 @@
     if (auto refused = co_await launchAttempt(*firstNode)) {
         co_return refused;
     }
-    if (m_attempts.runningCount() == 0) {
+    if (m_isResponseWritten) {
         // A stored response was replayed instead of an attempt.
         co_return std::nullopt;
     }
@@ -156,7 +156,9 @@
             co_await launchHedge();
             continue;
         }
-        if (m_cancel.reason()) {
+        // The end of an attempt that was cancelled for a streamed response doesn't matter.
+        const bool isSuperseded = m_writer.hasStarted() && !ended->response.isStreaming();
+        if (m_cancel.reason() || isSuperseded) {
             continue;
         }
         if (isFinalResponse(*ended)) {
@@ -166,7 +168,7 @@
         if (refused) {
             co_return refused;
         }
-        if (m_writer.hasStarted()) {
+        if (m_isResponseWritten) {
             co_return std::nullopt;
         }
     }
@@ -257,7 +259,7 @@
 {
     m_hedgeTime = base::time_point::max();
     const auto inFlight = static_cast<unsigned>(m_attempts.runningCount());
-    if (m_countedAttempts + inFlight >= maxAttempts()
+    if (m_writer.hasStarted() || m_countedAttempts + inFlight >= maxAttempts()
         || m_totalAttempts >= m_entryContext.dependencies().hooks.attemptRules.maxTotalAttempts) {
         co_return;
     }
@@ -304,6 +306,7 @@
     if (sent) {
         sent = co_await m_writer.end();
     }
+    m_isResponseWritten = sent.has_value();
     co_return sent ? std::nullopt : optional_refusal(refusal{sent.error(), {}});
 }
 
@@ -335,13 +338,16 @@
                                                        : error_kind::UpstreamFailed;
             m_entryContext.dependencies().metrics.countRetry(kind);
             co_await waitForBackoff();
+            if (m_writer.hasStarted()) {
+                co_return std::nullopt;
+            }
             co_return co_await launchAttempt(*chosen);
         }
         if (!m_lastFailure) {
             m_lastFailure = chosen.error();
         }
     }
-    if (m_attempts.runningCount() > 0) {
+    if (m_attempts.runningCount() > 0 && !m_writer.hasStarted()) {
         co_return std::nullopt;
     }
     co_return co_await finishAfterLastAttempt();
@@ -429,6 +435,8 @@
 {
     return {m_entryContext.dependencies().hooks.attemptRules.maxBufferedResponseBytes,
             [this](upstream::answer_start start) {
+                // The writer belongs to this response from now on.
+                m_attempts.cancelAllButStreaming(error_kind::CallerGone);
                 if (m_idempotency) {
                     m_idempotency->recordStart(start);
                 }
