app: count the stop time of a mesh node from the last stop signal

What callers saw: requests taken between two SIGTERMs are answered 502 while their upstreams are at work, 5.3 s after the first signal. Cause: only the first signal was waited for. A platform that asks again to stop grants its grace time anew; the node ended by the first. Change: each SIGTERM restarts the times of the final responses and of the end of the process. What is accepted when still depends on the first.

--- a/src/app/internal/meshcommand.cpp
+++ b/src/app/internal/meshcommand.cpp
@@ -33,11 +33,7 @@
 
     auto run() -> exit_code
     {
-        m_stopSignals.async_wait([this](const auto &failure, int /*signal*/) {
-            if (!failure) {
-                stop();
-            }
-        });
+        waitForStop();
         waitForReload();
         pollSettings();
         m_node.start();
@@ -53,6 +49,17 @@
     }
 
 private:
+    auto waitForStop() -> void
+    {
+        m_stopSignals.async_wait([this](const auto &failure, int /*signal*/) {
+            if (failure) {
+                return;
+            }
+            stop();
+            waitForStop();
+        });
+    }
+
     auto waitForReload() -> void
     {
         m_reloadSignals.async_wait([this](const auto &failure, int /*signal*/) {
@@ -100,9 +107,11 @@
 
     auto stop() -> void
     {
+        // The platform grants the stop time anew with each signal.
         base::log(base::log_level::Info, "shutdown started",
                   {{"caller_connections", m_node.openConnections()}});
         m_node.drain([this] { finish(exit_code::Success); });
+        m_node.restartStopTime();
         m_stopTimer.expires_after(std::max(m_settings.stopTime - STOP_MARGIN, STOP_MARGIN));
         m_stopTimer.async_wait([this](const auto &failure) {
             if (!failure) {
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -121,7 +121,7 @@
                   LINK_TIMING),
           m_acceptor(std::make_shared<peer_acceptor>(
                   std::vector{&context}, std::vector{&m_linkPool}, settings.peerListenAddress)),
-          m_expiryTimer(context)
+          m_expiryTimer(context), m_finalResponseTimer(context)
     {
         if (!settings.callerAddress.address.empty()) {
             m_callerServer.emplace(std::vector{&context}, settings.callerAddress,
@@ -164,13 +164,25 @@
             runAfter(LEAVE_PROPAGATION_TIME, [this, done] { waitForIdleExecutor(done); });
             return;
         }
-        runAfter(m_settings.stopTime - FINAL_RESPONSE_LEAD_TIME,
-                 [this] { m_callerServer->cancelRequests(); });
         runAfter(CALLER_FAILOVER_TIME, [this, done] {
             m_callerServer->drain([this, done] { waitForIdleExecutor(done); });
         });
     }
 
+    auto restartStopTime() -> void
+    {
+        if (!m_isDraining) {
+            return;
+        }
+        m_stopTimeStart = base::clock::now();
+        m_finalResponseTimer.expires_after(m_settings.stopTime - FINAL_RESPONSE_LEAD_TIME);
+        m_finalResponseTimer.async_wait([this](const boost::system::error_code &error) {
+            if (!error && m_callerServer) {
+                m_callerServer->cancelRequests();
+            }
+        });
+    }
+
     [[nodiscard]] auto openConnections() const -> std::size_t
     {
         return m_callerServer ? m_callerServer->connectionCount() : 0;
@@ -331,7 +343,7 @@
         hooks.canFinishBy = [this](base::time_point deadline) {
             const auto now = base::clock::now();
             return !m_drainStartTime || now < *m_drainStartTime + FULL_ADMISSION_TIME
-                   || deadline < *m_drainStartTime + m_settings.stopTime - STOP_RESERVE;
+                   || deadline < m_stopTimeStart + m_settings.stopTime - STOP_RESERVE;
         };
         hooks.takeRateToken = [this](base::organisation_id organisation) {
             return admit(std::move(organisation));
@@ -650,6 +662,8 @@
     base::metrics m_metrics;
     bool m_isDraining = false;
     std::optional<base::time_point> m_drainStartTime;
+    //! Time of the last stop signal.
+    base::time_point m_stopTimeStart;
     config::snapshot_cell m_configuration;
     base::snapshot_cell<membership::view> m_membershipView;
     policy::placement m_placement;
@@ -671,6 +685,7 @@
     std::optional<status::status_server> m_statusServer;
     std::optional<adapter_server_handle> m_adapterServers;
     asio::steady_timer m_expiryTimer;
+    asio::steady_timer m_finalResponseTimer;
 };
 
 mesh_node::mesh_node(asio::io_context &context, const config::mesh_settings &settings,
@@ -695,6 +710,11 @@
     m_state->drain(done);
 }
 
+auto mesh_node::restartStopTime() -> void
+{
+    m_state->restartStopTime();
+}
+
 auto mesh_node::openConnections() const -> std::size_t
 {
     return m_state->openConnections();
--- a/src/app/meshnode.h
+++ b/src/app/meshnode.h
@@ -35,6 +35,11 @@
     //! `done`. Only the first call has an effect.
     auto drain(std::function<void()> done) -> void;
 
+    //! Grants the stop time anew, because the platform has asked again to stop. The node still
+    //! accepts no more than before; requests under way get the longer time. No effect before
+    //! `drain`.
+    auto restartStopTime() -> void;
+
     //! Number of open caller connections.
     [[nodiscard]] auto openConnections() const -> std::size_t;
 
--- a/tests/mesh/plannedstoptest.cpp
+++ b/tests/mesh/plannedstoptest.cpp
@@ -129,10 +129,60 @@
     }
 }
 
+//! Sends one write that takes `workTime` over a new connection.
+auto sendOnce(const mesh_fleet &fleet, int node, const std::string &id, base::milliseconds workTime,
+              stop_record &record) -> void
+{
+    http_client client(fleet.callerAddress(node));
+    const auto answer =
+            client.send("POST", "/w/" + std::to_string(workTime.count()),
+                        messages::requestHeaders(id, "wide", mesh_caller::DEADLINE_MS), "x");
+    if (answer) {
+        record.onAnswer(id, answer->status);
+    } else {
+        record.onNoAnswer(id);
+    }
+}
+
 } // namespace
 
 TEST_GROUP(planned_stop){};
 
+// Guards against a node that ignores a second SIGTERM and breaks off requests by the grace time of
+// the first, although the platform grants it anew.
+TEST(planned_stop, secondStopSignalGrantsTheGraceTimeAnew)
+{
+    constexpr base::milliseconds TIME_BETWEEN_SIGNALS{1800};
+    constexpr base::milliseconds WORK_TIME{3800};
+    stop_record record;
+    mesh_fleet fleet(HAWTHORNPICK_BINARY,
+                     std::filesystem::temp_directory_path()
+                             / ("hawthornpick-stop-" + std::to_string(getpid())),
+                     FLEET_SIZE, [&record](int /*node*/, webapi::request incoming) {
+                         return runRequest(record, std::move(incoming));
+                     });
+    CHECK(mesh_caller(fleet).waitUntilServed());
+    const int node = fleet.cores();
+    fleet.signal(node, SIGTERM);
+    std::this_thread::sleep_for(TIME_BETWEEN_SIGNALS);
+    fleet.signal(node, SIGTERM);
+    std::vector<std::jthread> callers;
+    for (int i = 0; i < CALLERS_PER_STOP; ++i) {
+        callers.emplace_back([&fleet, &record, node, i, WORK_TIME] {
+            sendOnce(fleet, node, "late-" + std::to_string(i), WORK_TIME, record);
+        });
+    }
+    const auto end = base::clock::now() + GRACE_TIME;
+    while (fleet.isRunning(node) && base::clock::now() < end) {
+        std::this_thread::sleep_for(base::milliseconds(20));
+    }
+    CHECK_TEXT(!fleet.isRunning(node), "the process outlives the grace time");
+    callers.clear();
+    CHECK(record.answerCount() > 0);
+    const int cut = record.countCut();
+    CHECK_EQUAL(0, cut);
+}
+
 // Guards against writes that a stopping node takes late, passes on and cuts at the end of the grace
 // time, and against a process that outlives it.
 TEST(planned_stop, stoppingNodeCutsNoRequestThatItPassedOn)
