upstream: don't let an unknown service displace an upstream

What callers saw: one announcement with the address of an upstream, a service that no configuration has and a higher incarnation put that upstream out of use for as long as it lived; with three of six out, a third of the requests was refused. Cause: any announcement with a higher incarnation marked the others at its address as withdrawn, which is final. Change: the service of an announcement must be in the configuration, or that of the other must not be either. The lookup that gives the queue limit of a service tells whether there is one. Evidence: unknownServiceDisplacesNoUpstream failed before and passes.

--- a/src/upstream/internal/registry.cpp
+++ b/src/upstream/internal/registry.cpp
@@ -1,5 +1,7 @@
 #include "upstream/registry.h"
 
+#include "config/model.h"
+
 #include <algorithm>
 
 namespace hawthornpick::upstream {
@@ -129,19 +131,27 @@
 auto upstream_registry::isSuperseded(const announcement &received) const -> bool
 {
     return std::any_of(m_registrations.begin(), m_registrations.end(),
-                       [&received](const auto &item) {
+                       [this, &received](const auto &item) {
                            const auto &record = *item.second.record;
                            return item.first != received.name && isLive(record)
                                   && record.address == received.address
-                                  && record.entry.incarnation > received.incarnation;
+                                  && record.entry.incarnation > received.incarnation
+                                  && mayDisplace(record.entry.service, received.service);
                        });
 }
 
+auto upstream_registry::mayDisplace(const base::service_id &newer,
+                                    const base::service_id &older) const -> bool
+{
+    return m_queuePerSlot(newer).has_value() || !m_queuePerSlot(older).has_value();
+}
+
 auto upstream_registry::removeOthersAtAddress(const announcement &received) -> void
 {
     for (auto &[name, upstream] : m_registrations) {
         if (name != received.name && isLive(*upstream.record)
-            && upstream.record->address == received.address) {
+            && upstream.record->address == received.address
+            && mayDisplace(received.service, upstream.record->entry.service)) {
             upstream.withdrawn = true;
             markGone(upstream);
         }
@@ -342,7 +352,8 @@
 {
     for (const auto &[name, upstream] : m_registrations) {
         auto &queue = m_queues[upstream.record->entry.service];
-        const auto queuePerSlot = m_queuePerSlot(upstream.record->entry.service);
+        const auto queuePerSlot = m_queuePerSlot(upstream.record->entry.service)
+                                          .value_or(config::service{}.queuePerSlot);
         if (!queue) {
             queue = std::make_shared<policy::slot_queue>(m_queueOrder, queuePerSlot);
         }
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -10,8 +10,9 @@
         -> upstream_registry::queue_limit_function
 {
     return [&configuration](const base::service_id &serviceId) {
-        const auto *service = configuration.load()->serviceById(serviceId);
-        return service == nullptr ? config::service{}.queuePerSlot : service->queuePerSlot;
+        const auto snapshot = configuration.load();
+        const auto *service = snapshot->serviceById(serviceId);
+        return service == nullptr ? std::nullopt : std::optional(service->queuePerSlot);
     };
 }
 
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -115,8 +115,10 @@
     //! concurrently.
     using change_function =
             std::function<void(const std::vector<membership::upstream_entry> &entries)>;
-    //! Returns the maximum number of waiting requests per slot of a service.
-    using queue_limit_function = std::function<std::uint32_t(const base::service_id &service)>;
+    //! Returns the maximum number of waiting requests per slot of a service; nothing if the
+    //! configuration doesn't have the service.
+    using queue_limit_function =
+            std::function<std::optional<std::uint32_t>(const base::service_id &service)>;
 
     upstream_registry(base::node_id node, queue_limit_function queuePerSlot,
                       change_function onChange,
@@ -127,7 +129,8 @@
     //! Records an announcement. Within one incarnation `Draining` and a withdrawal are final, but
     //! an upstream whose announcement expired may announce itself again. If another upstream has
     //! the same address, the one with the lower incarnation is marked as gone or rejected; with
-    //! equal incarnations the later announcement wins.
+    //! equal incarnations the later announcement wins. One of an unknown service displaces none of
+    //! a known service.
     auto announce(const announcement &received, base::time_point now) -> announce_result;
 
     //! Marks an upstream as withdrawn and gone.
@@ -171,6 +174,9 @@
     };
 
     [[nodiscard]] auto hasCapacityFor(const registration *upstream) const -> bool;
+    // An announcement from elsewhere may name a service that doesn't exist.
+    [[nodiscard]] auto mayDisplace(const base::service_id &newer,
+                                   const base::service_id &older) const -> bool;
     // True if a live upstream with a higher incarnation uses the same address.
     [[nodiscard]] auto isSuperseded(const announcement &received) const -> bool;
     // Marks other upstreams with the same address as withdrawn and gone.
--- a/src/upstream/tests/registrytest.cpp
+++ b/src/upstream/tests/registrytest.cpp
@@ -14,6 +14,7 @@
 
 const base::time_point START{seconds(1000)};
 const base::node_id NODE("node");
+const base::service_id UNKNOWN_SERVICE("unknown");
 
 auto announcementOf(const std::string &name, upstream_state state, base::incarnation incarnation,
                     std::uint64_t sequence) -> upstream::announcement
@@ -28,8 +29,11 @@
 public:
     explicit process(upstream::initial_use use)
         : m_registry(
-                NODE, [](const base::service_id &) { return 2U; }, {},
-                upstream_registry::ANNOUNCEMENT_LIFE, policy::queue_order::Urgency, use)
+                NODE,
+                [](const base::service_id &service) {
+                    return service == UNKNOWN_SERVICE ? std::nullopt : std::optional(2U);
+                },
+                {}, upstream_registry::ANNOUNCEMENT_LIFE, policy::queue_order::Urgency, use)
     {}
 
     auto operator->() -> upstream_registry * { return &m_registry; }
@@ -88,6 +92,26 @@
     CHECK(successor.stateOf("u") == upstream_state::Ready);
 }
 
+// Guards against an announcement of a service that doesn't exist, which puts the upstream at its
+// address out of use for good, whether it comes before or after those of the upstream.
+TEST(upstream_registry, unknownServiceDisplacesNoUpstream)
+{
+    for (const bool isFirst : {true, false}) {
+        process node(upstream::initial_use::Allowed);
+        auto odd = announcementOf("odd", upstream_state::Ready, 9, 1);
+        odd.service = UNKNOWN_SERVICE;
+        if (!isFirst) {
+            CHECK(node.announce(upstream_state::Ready, 5) == announce_result::Accepted);
+        }
+        (void)node->announce(odd, START);
+        CHECK(node.announce(upstream_state::Ready, 5, 2) == announce_result::Accepted);
+        CHECK(node.stateOf("u") == upstream_state::Ready);
+        CHECK(node.announce(upstream_state::Ready, 7, 1, "successor") == announce_result::Accepted);
+        CHECK(node.stateOf("u") == upstream_state::Gone);
+        CHECK(node.stateOf("successor") == upstream_state::Ready);
+    }
+}
+
 // Guards against a late announcement that puts an upstream back into use after it left.
 TEST(upstream_registry, rejectsUpstreamsThatLeftAFormerProcess)
 {
