caller, app: store a response for repeats before it is written

What callers saw: a repeat with the same Idempotency-Key right after the response got idempotency_in_progress instead of the stored response. Cause: the record was completed after the response had been written, and nothing waited for the replicas.

--- a/src/app/internal/nodehooks.cpp
+++ b/src/app/internal/nodehooks.cpp
@@ -4,6 +4,9 @@
 #include "base/awaitcallback.h"
 
 #include <algorithm>
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
 
 namespace hawthornpick::app {
 
@@ -11,6 +14,10 @@
 
 using base::awaitCallback;
 
+//! Time for which a response waits until it is stored for repeats. Covers several round trips
+//! between regions; a caller should not wait for records that can't be reached.
+constexpr base::milliseconds MAX_STORE_WAIT{500};
+
 auto toAdmission(const limits::admission_result &result) -> caller::admission
 {
     switch (result.verdict) {
@@ -98,6 +105,24 @@
             });
 }
 
+// Returns false after `MAX_STORE_WAIT`; the response is stored all the same if that is possible.
+auto complete(atmostonce::idempotency_client &client, caller::idempotency_request request,
+              std::uint64_t claimId, std::string answer) -> boost::asio::awaitable<bool>
+{
+    const auto executor = co_await boost::asio::this_coro::executor;
+    co_return co_await awaitCallback<bool>([&](std::function<void(bool)> done) {
+        const auto finish = [isDone = std::make_shared<std::atomic<bool>>(false),
+                             done = std::move(done)](bool isStored) {
+            if (!isDone->exchange(true)) {
+                done(isStored);
+            }
+        };
+        const auto timer = std::make_shared<boost::asio::steady_timer>(executor, MAX_STORE_WAIT);
+        timer->async_wait([timer, finish](const auto & /*failure*/) { finish(false); });
+        client.complete(recordKey(request), claimId, 0, std::move(answer), finish);
+    });
+}
+
 // Selects the owner of a crash suspect, the only node that may run it. Fails if the owner is
 // unknown or was already tried.
 auto selectOwner(const health_control &health, const caller::selection_request &request,
@@ -155,9 +180,9 @@
     hooks.renew = [&client](caller::idempotency_request request, std::uint64_t claimId) {
         return renew(client, std::move(request), claimId);
     };
-    hooks.complete = [&client](const caller::idempotency_request &request, std::uint64_t claimId,
+    hooks.complete = [&client](caller::idempotency_request request, std::uint64_t claimId,
                                std::string answer) {
-        client.complete(recordKey(request), claimId, 0, std::move(answer), [](bool) {});
+        return complete(client, std::move(request), claimId, std::move(answer));
     };
     hooks.release = [&client](const caller::idempotency_request &request, std::uint64_t claimId) {
         client.release(recordKey(request), claimId, [](bool) {});
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -168,9 +168,10 @@
     //! Replaces the attempt in a claimed record by that of a retry; false if that failed.
     //! Precondition: the previous attempt was proved not to have started.
     std::function<task<bool>(idempotency_request request, std::uint64_t claim)> renew;
-    //! Stores the encoded response in the claimed record.
-    std::function<void(idempotency_request request, std::uint64_t claim,
-                       std::string encodedResponse)>
+    //! Stores the encoded response in the claimed record, and returns once that is done or has
+    //! taken too long; false if it isn't certain.
+    std::function<task<bool>(idempotency_request request, std::uint64_t claim,
+                             std::string encodedResponse)>
             complete;
     //! Frees the key of a request that was not run, so that it can be used again.
     //! Precondition: no attempt of the request started or will start.
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -284,18 +284,20 @@
     if (attempt.response.isStreaming()) {
         const auto ended = co_await m_writer.end();
         if (m_idempotency) {
-            m_idempotency->complete();
+            co_await m_idempotency->complete();
         }
         co_return ended ? std::nullopt : optional_refusal(refusal{ended.error(), {}});
     }
     co_return co_await finishWithResponse(attempt.response.take());
 }
 
+// The response is stored before it is written, because its caller may repeat the request as soon as
+// it has it.
 auto request_handler::finishWithResponse(upstream::answer_start response) -> task<optional_refusal>
 {
     if (m_idempotency) {
         m_idempotency->recordStart(response);
-        m_idempotency->complete();
+        co_await m_idempotency->complete();
     }
     co_return co_await writeResponse(std::move(response));
 }
@@ -433,7 +435,11 @@
 
 auto request_handler::newResponse() -> buffered_response
 {
-    return {m_entryContext.dependencies().hooks.attemptRules.maxBufferedResponseBytes,
+    // A response that can be stored for repeats must be complete before it is written.
+    const auto limitBytes =
+            std::max(m_entryContext.dependencies().hooks.attemptRules.maxBufferedResponseBytes,
+                     m_idempotency ? idempotency_session::MAX_STORED_RESPONSE_BYTES : 0);
+    return {limitBytes,
             [this](upstream::answer_start start) {
                 // The writer belongs to this response from now on.
                 m_attempts.cancelAllButStreaming(error_kind::CallerGone);
--- a/src/caller/internal/idempotencysession.cpp
+++ b/src/caller/internal/idempotencysession.cpp
@@ -49,14 +49,15 @@
     }
 }
 
-auto idempotency_session::complete() -> void
+auto idempotency_session::complete() -> asio::awaitable<void>
 {
     if (!m_claim) {
-        return;
+        co_return;
     }
     m_response.bodyComplete = true;
     m_response.contentLength = m_response.body.size();
-    m_hooks.complete(m_request, *m_claim, upstream::encodeOpening({{}, m_response, {}}));
+    auto encoded = upstream::encodeOpening({{}, m_response, {}});
+    (void)co_await m_hooks.complete(m_request, *m_claim, std::move(encoded));
 }
 
 auto idempotency_session::release() -> void
--- a/src/caller/internal/idempotencysession.h
+++ b/src/caller/internal/idempotencysession.h
@@ -36,8 +36,8 @@
     auto recordStart(const upstream::answer_start &start) -> void;
     auto recordData(std::string_view part) -> void;
 
-    //! Stores the recorded response. Precondition: it is complete.
-    auto complete() -> void;
+    //! Stores the recorded response, so that a repeat gets it. Precondition: it is complete.
+    auto complete() -> task<void>;
 
     //! Frees the key. Precondition: the request is proved not to have run.
     auto release() -> void;
--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdio>
 #include <thread>
 
@@ -159,6 +161,35 @@
     STRCMP_CONTAINS("\r\n\r\nfresh", client.readResponse().c_str());
 }
 
+// Guards against a caller that repeats a request as soon as it has the response, and is told that
+// the request is still in progress, because the response isn't stored yet.
+TEST(request_path_test, responseIsStoredBeforeItIsWritten)
+{
+    scripted_upstream upstream(respondWith("fresh"));
+    std::atomic<bool> isStored{false};
+    const auto adjustHooks = [&isStored](caller::entry_hooks &hooks) {
+        hooks.idempotency.claim = [](caller::idempotency_request)
+                -> boost::asio::awaitable<caller::idempotency_claim> {
+            co_return caller::idempotency_held{1};
+        };
+        hooks.idempotency.complete = [&isStored](caller::idempotency_request, std::uint64_t,
+                                                 std::string) -> boost::asio::awaitable<bool> {
+            boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                            base::milliseconds(100));
+            co_await timer.async_wait(boost::asio::use_awaitable);
+            isStored = true;
+            co_return true;
+        };
+    };
+    test_node node("n1", testConfiguration(), 100, adjustHooks);
+    node.announce("u1", upstream.port());
+    raw_client client(node.port());
+    client.send("POST /pay HTTP/1.1\r\nHost: x\r\nX-Api-Key: k-secret\r\n"
+                "Idempotency-Key: a\r\nContent-Length: 1\r\n\r\na");
+    STRCMP_CONTAINS("HTTP/1.1 200 OK\r\n", client.readUntil("\r\n\r\n").c_str());
+    CHECK_TRUE(isStored);
+}
+
 // Guards against a caller that gets no response when the node stops while its request is in
 // flight. The response must say that the outcome is unknown.
 TEST(request_path_test, abandonedRequestsGetAFinalResponse)
