--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -162,7 +162,10 @@
     }
     quorumSettings.dataFolder = settings.dataFolder;
     m_hub.emplace(
-            fleet::hub_options{quorumSettings.replica.contacts, m_bootId, false, true}, m_reporter,
+            fleet::hub_options{.contacts = quorumSettings.replica.contacts,
+                               .bootId = m_bootId,
+                               .keepsDepartures = true},
+            m_reporter,
             [this](base::time_point now) { return m_quorum->isFresh(now, MAX_LEADER_CONTACT_AGE); },
             m_callbacks.isNearLimit);
     m_quorum.emplace(
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -75,8 +75,8 @@
         return m_reporter.confirmation();
     }
 
-    //! Returns true if the configuration in force was known to be the newest one
-    //! a short time ago.
+    //! Returns true if a hub has confirmed recently that the configuration in force is the newest
+    //! one, so that what it denies is denied for certain.
     [[nodiscard]] auto isConfigurationCurrent(base::time_point now) const -> bool;
 
     //! Announces to the fleet that this node stops.
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -257,7 +257,7 @@
          {&request_handler::checkPreconditions, &request_handler::matchRoute,
           &request_handler::authenticate, &request_handler::checkIdempotencyKey}) {
         if (auto refused = (this->*step)()) {
-            co_return withCertainReason(std::move(*refused));
+            co_return replaceUncertainDenial(std::move(*refused));
         }
     }
     co_return co_await checkRateLimit();
@@ -289,7 +289,7 @@
     return !isCurrent || isCurrent();
 }
 
-auto request_handler::withCertainReason(refusal refused) const -> refusal
+auto request_handler::replaceUncertainDenial(refusal refused) const -> refusal
 {
     if (!deniesByConfiguration(refused.error.kind) || isConfigurationCurrent()) {
         return refused;
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -85,7 +85,8 @@
     auto admit() -> task<optional_refusal>;
     auto checkPreconditions() -> optional_refusal;
     auto isConfigurationCurrent() const -> bool;
-    auto withCertainReason(refusal refused) const -> refusal;
+    // A denial out of an outdated configuration may be wrong: the node says that it can't know.
+    auto replaceUncertainDenial(refusal refused) const -> refusal;
     auto matchRoute() -> optional_refusal;
     auto authenticate() -> optional_refusal;
     auto checkIdempotencyKey() -> optional_refusal;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -166,7 +166,9 @@
                                                       isNearLimit);
         if (isHub) {
             node.hub = std::make_unique<fleet::hub>(
-                    fleet::hub_options{m_contacts, m_network.random().bits(), false, true},
+                    fleet::hub_options{.contacts = m_contacts,
+                                       .bootId = m_network.random().bits(),
+                                       .keepsDepartures = true},
                     *node.reporter, [&node](base::time_point) { return node.isFresh; },
                     isNearLimit);
             node.hub->onDeparturesLoaded(node.disk, m_network.now());
@@ -220,6 +222,19 @@
         }
     }
 
+    //! Publishes the upstreams of a node; returns true if hubs have stored them within a second.
+    auto storeUpstreams(int index, std::vector<membership::upstream_entry> upstreams) -> bool
+    {
+        auto &reporter = *node(index).reporter;
+        reporter.setUpstreams(std::move(upstreams));
+        const auto sequence = reporter.self().sequence;
+        m_network.send(nodeIdOf(index), reporter.requestStorage(m_network.now()));
+        for (int i = 0; i < 40 && !reporter.isStored(sequence); ++i) {
+            run(milliseconds(25));
+        }
+        return reporter.isStored(sequence);
+    }
+
     //! Returns true if a restarted node has been told that an upstream of its predecessor left.
     auto hasBeenToldOfDeparture(int index, const std::string &upstream,
                                 base::incarnation incarnation) -> bool
@@ -285,6 +300,18 @@
     std::vector<base::node_id> m_contacts;
 };
 
+//! Checks that a restarted node has been told of all departures.
+auto checkKnowsDepartures(directory_fleet &fleet, int node,
+                          const std::vector<membership::upstream_entry> &departures,
+                          std::uint64_t seed) -> void
+{
+    for (const auto &departed : departures) {
+        const auto place = "seed " + std::to_string(seed) + ", upstream " + departed.id.str();
+        CHECK_TEXT(fleet.hasBeenToldOfDeparture(node, departed.id.str(), departed.incarnation),
+                   place.c_str());
+    }
+}
+
 } // namespace
 
 TEST_GROUP(directory){};
@@ -961,14 +988,7 @@
             const auto added = makeLeftUpstream("u" + std::to_string(generation), generation);
             auto upstreams = stored;
             upstreams.push_back(added);
-            auto &reporter = *fleet.node(NODE).reporter;
-            reporter.setUpstreams(upstreams);
-            const auto sequence = reporter.self().sequence;
-            fleet.network().send(nodeIdOf(NODE), reporter.requestStorage(fleet.network().now()));
-            for (int i = 0; i < 40 && !reporter.isStored(sequence); ++i) {
-                fleet.run(milliseconds(25));
-            }
-            if (reporter.isStored(sequence)) {
+            if (fleet.storeUpstreams(NODE, upstreams)) {
                 stored.push_back(added);
             }
             const auto wiped = static_cast<int>(random.below(HUBS));
@@ -981,12 +1001,7 @@
                 fleet.startNode(i, i < HUBS, generation);
             }
             fleet.run(milliseconds(3000));
-            for (const auto &departed : stored) {
-                CHECK_TEXT(
-                        fleet.hasBeenToldOfDeparture(NODE, departed.id.str(), departed.incarnation),
-                        ("seed " + std::to_string(seed) + ", upstream " + departed.id.str())
-                                .c_str());
-            }
+            checkKnowsDepartures(fleet, NODE, stored, seed);
         }
         CHECK(stored.size() >= 5);
     }
@@ -1008,14 +1023,7 @@
             const auto added = makeLeftUpstream("u" + std::to_string(generation), generation);
             auto upstreams = stored;
             upstreams.push_back(added);
-            auto &reporter = *fleet.node(NODE).reporter;
-            reporter.setUpstreams(upstreams);
-            const auto sequence = reporter.self().sequence;
-            fleet.network().send(nodeIdOf(NODE), reporter.requestStorage(fleet.network().now()));
-            for (int i = 0; i < 40 && !reporter.isStored(sequence); ++i) {
-                fleet.run(milliseconds(25));
-            }
-            if (reporter.isStored(sequence)) {
+            if (fleet.storeUpstreams(NODE, upstreams)) {
                 stored.push_back(added);
             }
             const auto hub = static_cast<int>(random.below(HUBS));
@@ -1025,12 +1033,7 @@
             fleet.startNode(hub, true, generation);
             fleet.startNode(NODE, false, generation);
             fleet.run(milliseconds(3000));
-            for (const auto &departed : stored) {
-                CHECK_TEXT(
-                        fleet.hasBeenToldOfDeparture(NODE, departed.id.str(), departed.incarnation),
-                        ("seed " + std::to_string(seed) + ", upstream " + departed.id.str())
-                                .c_str());
-            }
+            checkKnowsDepartures(fleet, NODE, stored, seed);
         }
         CHECK(stored.size() >= 8);
     }
--- a/tests/mesh/changingfleet.cpp
+++ b/tests/mesh/changingfleet.cpp
@@ -17,6 +17,8 @@
 using processtest::http_client;
 
 constexpr base::milliseconds POLL_INTERVAL{100};
+constexpr int CHECKED_CHANGES = 4;
+constexpr base::milliseconds CHANGE_LIMIT{20'000};
 
 auto answerAtOnce(webapi::request incoming) -> boost::asio::awaitable<webapi::response>
 {
@@ -57,6 +59,16 @@
     return false;
 }
 
+auto changing_fleet::checkAddedRoutesAreServed() -> void
+{
+    for (int change = 0; change < CHECKED_CHANGES; ++change) {
+        CHECK(addRoute(CHANGE_LIMIT));
+        std::this_thread::sleep_for(APPLY_TIME);
+        const int missing = countNodesWithoutRoute();
+        CHECK_EQUAL(0, missing);
+    }
+}
+
 auto changing_fleet::countNodesWithoutRoute() -> int
 {
     int count = 0;
--- a/tests/mesh/changingfleet.h
+++ b/tests/mesh/changingfleet.h
@@ -27,6 +27,9 @@
     //! acknowledged, and false after `limit`.
     auto addRoute(base::milliseconds limit) -> bool;
 
+    //! Checks that each of several added routes is served by all nodes `APPLY_TIME` later.
+    auto checkAddedRoutesAreServed() -> void;
+
     //! Number of nodes that don't serve the route that was added last.
     auto countNodesWithoutRoute() -> int;
 
--- a/tests/mesh/clocksteptest.cpp
+++ b/tests/mesh/clocksteptest.cpp
@@ -32,12 +32,7 @@
         restartWithClockSetBack(fleet, FLEET_SIZE.cores + edge);
     }
     std::this_thread::sleep_for(changing_fleet::START_TIME);
-    for (int change = 0; change < 4; ++change) {
-        CHECK(fleet.addRoute(CHANGE_LIMIT));
-        std::this_thread::sleep_for(changing_fleet::APPLY_TIME);
-        const int missing = fleet.countNodesWithoutRoute();
-        CHECK_EQUAL(0, missing);
-    }
+    fleet.checkAddedRoutesAreServed();
 }
 
 // Guards against the same for core nodes, which then neither vote nor tell the configuration.
--- a/tests/mesh/lateanswertest.cpp
+++ b/tests/mesh/lateanswertest.cpp
@@ -53,12 +53,7 @@
     std::this_thread::sleep_for(CUT_TIME);
     disturb(fleet, disturbance::Delay);
     std::this_thread::sleep_for(changing_fleet::START_TIME);
-    for (int change = 0; change < 4; ++change) {
-        CHECK(fleet.addRoute(CHANGE_LIMIT));
-        std::this_thread::sleep_for(changing_fleet::APPLY_TIME);
-        const int missing = fleet.countNodesWithoutRoute();
-        CHECK_EQUAL(0, missing);
-    }
+    fleet.checkAddedRoutesAreServed();
 }
 
 // Guards against a node that says that a route doesn't exist, although it can't know.
--- a/tests/mesh/plannedstoptest.cpp
+++ b/tests/mesh/plannedstoptest.cpp
@@ -103,6 +103,19 @@
     co_return answer;
 }
 
+auto recordedWork(stop_record &record) -> mesh_fleet::upstream_handler
+{
+    return [&record](int /*node*/, webapi::request incoming) {
+        return runRequest(record, std::move(incoming));
+    };
+}
+
+auto fleetFolder() -> std::filesystem::path
+{
+    return std::filesystem::temp_directory_path()
+           / ("hawthornpick-stop-" + std::to_string(getpid()));
+}
+
 //! Sends writes to one node over a kept connection until the node is gone.
 auto sendUntilGone(const mesh_fleet &fleet, int node, const std::string &name, stop_record &record,
                    const std::stop_token &gone) -> void
@@ -155,12 +168,7 @@
     constexpr base::milliseconds TIME_BETWEEN_SIGNALS{1800};
     constexpr base::milliseconds WORK_TIME{3800};
     stop_record record;
-    mesh_fleet fleet(HAWTHORNPICK_BINARY,
-                     std::filesystem::temp_directory_path()
-                             / ("hawthornpick-stop-" + std::to_string(getpid())),
-                     FLEET_SIZE, [&record](int /*node*/, webapi::request incoming) {
-                         return runRequest(record, std::move(incoming));
-                     });
+    mesh_fleet fleet(HAWTHORNPICK_BINARY, fleetFolder(), FLEET_SIZE, recordedWork(record));
     CHECK(mesh_caller(fleet).waitUntilServed());
     const int node = fleet.cores();
     fleet.signal(node, SIGTERM);
@@ -188,12 +196,7 @@
 TEST(planned_stop, stoppingNodeCutsNoRequestThatItPassedOn)
 {
     stop_record record;
-    mesh_fleet fleet(HAWTHORNPICK_BINARY,
-                     std::filesystem::temp_directory_path()
-                             / ("hawthornpick-stop-" + std::to_string(getpid())),
-                     FLEET_SIZE, [&record](int /*node*/, webapi::request incoming) {
-                         return runRequest(record, std::move(incoming));
-                     });
+    mesh_fleet fleet(HAWTHORNPICK_BINARY, fleetFolder(), FLEET_SIZE, recordedWork(record));
     CHECK(mesh_caller(fleet).waitUntilServed());
     for (int stop = 0; stop < STOP_COUNT; ++stop) {
         const int node = fleet.cores() + stop % FLEET_SIZE.edges;
