app: don't end serve at a second SIGTERM

What callers saw: requests under way are cut when a node that stops gets SIGTERM again. Cause: any second signal ended the process at once. Change: a further SIGTERM restarts shutdown_limit_ms, as in a mesh. SIGINT still ends the drain, for an operator at a terminal. Evidence: secondStopSignalCutsNoRequest (real processes) failed before with exit status 1 and passes; gracefulShutdownCutsNoRequest passes.

--- a/src/app/internal/servecommand.cpp
+++ b/src/app/internal/servecommand.cpp
@@ -24,8 +24,8 @@
           m_limitTimer(m_context)
     {}
 
-    //! Returns `Success` if all requests finished, and `Failure` if a second signal or the time
-    //! limit ended the drain early.
+    //! Returns `Success` if all requests finished, and `Failure` if SIGINT as a later signal or the
+    //! time limit ended the drain early.
     auto run() -> exit_code
     {
         m_signals.async_wait([this](const auto & /*failure*/, int /*signal*/) { onFirstSignal(); });
@@ -40,11 +40,28 @@
                   {{"limit_ms", m_timeLimit.count()},
                    {"caller_connections", m_node.openConnections()}});
         m_node.drain([this] { asio::post(m_context, [this] { finish(exit_code::Success); }); });
-        m_signals.async_wait([this](const auto &failure, int /*signal*/) {
-            if (!failure) {
-                abortDrain("second signal");
+        waitForLaterSignal();
+        restartTimeLimit();
+    }
+
+    // An operator at a terminal may end the drain; a SIGTERM grants the time limit anew.
+    auto waitForLaterSignal() -> void
+    {
+        m_signals.async_wait([this](const auto &failure, int signal) {
+            if (failure) {
+                return;
             }
+            if (signal == SIGINT) {
+                abortDrain("interrupted");
+                return;
+            }
+            restartTimeLimit();
+            waitForLaterSignal();
         });
+    }
+
+    auto restartTimeLimit() -> void
+    {
         m_limitTimer.expires_after(m_timeLimit);
         m_limitTimer.async_wait([this](const auto &failure) {
             if (!failure) {
--- a/tests/process/invarianttest.cpp
+++ b/tests/process/invarianttest.cpp
@@ -226,6 +226,31 @@
     CHECK_EQUAL(0, failed.load());
 }
 
+// Guards against a node that ends at once, with its requests under way, when it gets SIGTERM again
+// while it stops.
+TEST(process, secondStopSignalCutsNoRequest)
+{
+    constexpr std::chrono::milliseconds WORK_TIME{3000};
+    auto &upstream = addUpstream("a2");
+    m_fleet.applyAndWait(WIDE);
+    waitUntilServed("a2");
+    upstream.setLatency(WORK_TIME);
+    const int before = upstream.started();
+    std::optional<http_answer> answer;
+    std::thread caller(
+            [&] { answer = http_client(m_fleet.callerAddress("a2")).send("GET", "/read", KEY); });
+    waitUntil("the request is under way", [&] { return upstream.started() > before; });
+    m_fleet.signal("a2", SIGTERM);
+    std::this_thread::sleep_for(WORK_TIME / 10);
+    m_fleet.signal("a2", SIGTERM);
+    const auto status = m_fleet.wait("a2");
+    caller.join();
+    CHECK(status.has_value());
+    CHECK_EQUAL(0, *status);
+    CHECK(answer.has_value());
+    CHECK_EQUAL(200U, answer->status);
+}
+
 // Guards against an upstream that gets work after it announced that it drains.
 TEST(process, drainingUpstreamGetsNoNewWork)
 {
