Revert "limits: admit an even share while the totals contain no node"

Without totals, an even share comes on top of what the nodes with the demand had admitted in the window. A limit must hold; a false refusal is the smaller harm. Change: the limiter of before.

--- a/src/limits/fleetratelimiter.h
+++ b/src/limits/fleetratelimiter.h
@@ -150,7 +150,6 @@
                       base::time_point now) const -> void;
     [[nodiscard]] auto unusedWindowRequests(const usage_state &state, const rate_limit &limit) const
             -> double;
-    [[nodiscard]] auto effectiveCoverage() const -> double;
     [[nodiscard]] auto plannedWindowRequests(const rate_limit &limit) const -> double;
     [[nodiscard]] auto hasRecentTotals(const usage_state &state, base::time_point now) const
             -> bool;
@@ -166,8 +165,6 @@
     rate_tolerance m_tolerance;
     base::time_point m_totalsReceivedAt{};
     double m_coverage = 1.0;
-    //! Share of the limit that is left to this node if the totals contain no node.
-    double m_minCoverage = 0.0;
     //! Share of each entry node if all have the same demand.
     double m_evenShare = 1.0;
     base::usage_map m_totals;
--- a/src/limits/internal/fleetratelimiter.cpp
+++ b/src/limits/internal/fleetratelimiter.cpp
@@ -129,15 +129,8 @@
 auto fleet_rate_limiter::plannedWindowRequests(const rate_limit &limit) const -> double
 {
     return windowRequests(limit) * (1.0 + PLANNED_TOLERANCE_FRACTION * m_tolerance.overageRatio)
-                   * effectiveCoverage()
-           + PLANNED_TOLERANCE_FRACTION * m_tolerance.slackRequests * effectiveCoverage();
-}
-
-// A hub that has just started knows no nodes. This one may admit its even share all the same: the
-// nodes that are in totals leave it to those that are not.
-auto fleet_rate_limiter::effectiveCoverage() const -> double
-{
-    return std::max(m_coverage, m_minCoverage);
+                   * m_coverage
+           + PLANNED_TOLERANCE_FRACTION * m_tolerance.slackRequests * m_coverage;
 }
 
 auto fleet_rate_limiter::unusedWindowRequests(const usage_state &state,
@@ -147,15 +140,13 @@
 }
 
 // Totals leave out an organisation only if its demand is within its limit, so for an organisation
-// that is new at this node the time of the last totals counts. Totals without any node tell
-// nothing.
+// that is new at this node the time of the last totals counts.
 auto fleet_rate_limiter::hasRecentTotals(const usage_state &state, base::time_point now) const
         -> bool
 {
     const auto receivedAt =
             state.fleetUsageAt == base::time_point{} ? m_totalsReceivedAt : state.fleetUsageAt;
-    return m_coverage > 0.0 && receivedAt != base::time_point{}
-           && now - receivedAt < MAX_TOTALS_AGE;
+    return receivedAt != base::time_point{} && now - receivedAt < MAX_TOTALS_AGE;
 }
 
 auto fleet_rate_limiter::hasLiveTotals(const usage_state &state, base::time_point now) -> bool
@@ -222,7 +213,7 @@
 auto fleet_rate_limiter::liveTargetRequests(const usage_state &state, const rate_limit &limit) const
         -> double
 {
-    const double allowed = windowRequests(limit) * effectiveCoverage();
+    const double allowed = windowRequests(limit) * m_coverage;
     const double overload = state.fleetUsage.demand * windowSeconds() / std::max(1.0, allowed);
     const double reserveShare = std::clamp(overload - RESERVE_START_OVERLOAD, 0.0, 1.0);
     return allowed * (1.0 - OVERLOAD_RESERVE_FRACTION * reserveShare);
@@ -298,10 +289,8 @@
         return true;
     }
     const double minEntryNodes = now - m_startedAt < STARTUP_TIME ? STARTUP_MIN_ENTRY_NODES : 1.0;
-    const auto entryNodes = static_cast<double>(entryNodeCount);
-    m_minCoverage = 1.0 / std::max(minEntryNodes, entryNodes);
-    m_evenShare = 1.0 / std::max(minEntryNodes, m_coverage * entryNodes);
-    const double share = m_coverage > 0.0 ? shareFor(state) * m_coverage : m_minCoverage;
+    m_evenShare = 1.0 / std::max(minEntryNodes, m_coverage * static_cast<double>(entryNodeCount));
+    const double share = shareFor(state) * m_coverage;
     refillTokens(state, limit, share, now);
     const bool isDecidedByFleet = hasLiveTotals(state, now) && isNearLimit(limit, state.fleetUsage);
     const bool isAdmitted = isDecidedByFleet ? admitByLiveTotals(state, limit, now)
@@ -357,7 +346,7 @@
             "limit %.1f/s burst %.0f, fleet demand %.1f/s and %.0f admitted in 5 s, share %.3f, "
             "coverage %.2f, totals %d ms old",
             limit.rate, limit.burst, state.fleetUsage.demand, state.fleetUsage.admitted,
-            shareFor(state), effectiveCoverage(), base::toMilliseconds(now - m_totalsReceivedAt));
+            shareFor(state), m_coverage, base::toMilliseconds(now - m_totalsReceivedAt));
 }
 
 auto fleet_rate_limiter::retryAfter(const base::organisation_id &organisation,
