--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -690,7 +690,9 @@
 
 mesh_node::mesh_node(asio::io_context &context, const config::mesh_settings &settings,
                      mesh_adapter adapter)
-    : m_state(std::make_unique<mesh_node_state>(context, settings, std::move(adapter)))
+    : m_state(std::make_unique<mesh_node_state>(
+            context, adapter.applyOptions ? adapter.applyOptions(settings) : settings,
+            std::move(adapter)))
 {}
 
 mesh_node::~mesh_node() = default;
--- a/src/app/meshadapter.h
+++ b/src/app/meshadapter.h
@@ -54,6 +54,9 @@
 struct mesh_adapter
 {
     upstream::wire_profile wire;
+    //! Returns the settings with the features that the platform's options call for. Empty if there
+    //! are no such options. Thread safety: pure.
+    std::function<config::mesh_settings(config::mesh_settings settings)> applyOptions;
     //! Returns the document that results from a change, or an error text if the change can't be
     //! parsed. Thread safety: pure.
     std::function<tl::expected<std::string, std::string>(const std::string &current,
--- a/src/base/errorkind.h
+++ b/src/base/errorkind.h
@@ -54,10 +54,13 @@
     UpstreamRefused,
     UpstreamSuspected,
     Overloaded,
+    UpstreamEvacuated,
+    NoAllowedRegion,
+    UpstreamCold,
 };
 
 inline constexpr std::size_t ERROR_KIND_COUNT =
-        static_cast<std::size_t>(error_kind::Overloaded) + 1;
+        static_cast<std::size_t>(error_kind::UpstreamCold) + 1;
 
 //! Whether the upstream executed a request that failed, as far as is known.
 enum class outcome : std::uint8_t {
--- a/src/base/internal/errorkind.cpp
+++ b/src/base/internal/errorkind.cpp
@@ -87,6 +87,12 @@
          "The chosen upstream probably does not answer at present."},
         {Overloaded, 503, "overloaded", outcome::NotRun, true,
          "No upstream of the service can serve the request in its time."},
+        {UpstreamEvacuated, 503, "upstream_evacuated", outcome::NotRun, true,
+         "The failure domain of the chosen upstream has been evacuated."},
+        {NoAllowedRegion, 503, "no_allowed_region", outcome::NotRun, true,
+         "No region that the route and the organisation allow has an upstream for the request."},
+        {UpstreamCold, 503, "upstream_cold", outcome::NotRun, true,
+         "The chosen upstream is cold and has reached the rate at which it may be given requests."},
 }};
 
 } // namespace
--- a/src/config/idl/configwire.thrift
+++ b/src/config/idl/configwire.thrift
@@ -6,6 +6,7 @@
   3: i64 burst
   4: i64 weight
   5: i64 priority
+  6: list<string> allowed_regions
 }
 
 struct api_key {
@@ -23,6 +24,9 @@
   6: i64 retry_percent
   7: i64 max_attempts
   8: i64 warm_up_ms
+  9: double cold_rate
+  10: i64 cold_ms
+  11: string health_path
 }
 
 struct weighted_service {
@@ -47,6 +51,7 @@
   14: i64 max_attempts
   15: list<weighted_service> split
   16: bool large_bodies
+  17: list<string> allowed_regions
 }
 
 struct caller_limits {
--- a/src/config/internal/meshsettings.cpp
+++ b/src/config/internal/meshsettings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace hawthornpick::config {
 
@@ -48,6 +49,7 @@
     out.service = base::service_id(reader.text("service").value_or(""));
     out.upstreamAddress = reader.endpoint("address", false);
     out.heartbeat = reader.duration("heartbeat", out.heartbeat, 10ms, 10min);
+    out.coldOverage = reader.decimal("cold_overage", out.coldOverage, 0.0, 100.0);
 }
 
 auto readFleet(section_reader &reader, mesh_settings &out) -> void
@@ -79,15 +81,44 @@
     out.repeatWindow = reader.duration("window", out.repeatWindow, 100ms, 1h);
 }
 
+// Each entry `domain = NAME:REGION` names a failure domain of the fleet.
+auto readTopology(section_reader &reader, mesh_settings &out) -> void
+{
+    for (const auto &entry : reader.repeatedEntries("domain")) {
+        const auto colon = std::min(entry.value.find(':'), entry.value.size());
+        const auto domain = entry.value.substr(0, colon);
+        const auto region = entry.value.substr(std::min(colon + 1, entry.value.size()));
+        if (!isName(domain) || !isName(region)) {
+            reader.reject("domain", "`" + entry.value + "` is not of the form NAME:REGION");
+            continue;
+        }
+        out.failureDomains.emplace(domain, region);
+    }
+}
+
+auto readLoad(section_reader &reader, mesh_settings &out) -> void
+{
+    out.order = reader.choice("order", {"urgency", "cost"}, 0) == 1 ? waiting_order::Cost
+                                                                    : waiting_order::Urgency;
+    out.followsRemoteRoom = reader.flag("follow_remote_room", out.followsRemoteRoom);
+}
+
+auto readPlatform(section_reader &reader, mesh_settings &out) -> void
+{
+    std::istringstream names(reader.text("options").value_or(""));
+    for (std::string name; std::getline(names, name, ',');) {
+        out.platformOptions.push_back(name);
+    }
+}
+
 using read_function = void (*)(section_reader &, mesh_settings &);
 
 auto sectionReaders() -> const std::map<std::string, read_function> &
 {
-    static const std::map<std::string, read_function> readers{{"node", readNode},
-                                                              {"listen", readListen},
-                                                              {"upstream", readUpstream},
-                                                              {"fleet", readFleet},
-                                                              {"repeats", readRepeats}};
+    static const std::map<std::string, read_function> readers{
+            {"node", readNode},   {"listen", readListen},    {"upstream", readUpstream},
+            {"fleet", readFleet}, {"repeats", readRepeats},  {"topology", readTopology},
+            {"load", readLoad},   {"platform", readPlatform}};
     return readers;
 }
 
@@ -109,7 +140,8 @@
                               section.name,
                               {},
                               "section is repeated or unknown; allowed, once each, are [node], "
-                              "[listen], [upstream], [fleet] and [repeats]"});
+                              "[listen], [upstream], [fleet], [repeats], [topology], [load] and "
+                              "[platform]"});
             continue;
         }
         section_reader reader(document.file, section, errors);
--- a/src/config/internal/model.cpp
+++ b/src/config/internal/model.cpp
@@ -28,6 +28,26 @@
                           [](const Item &left, const Item &right) { return left.id < right.id; });
 }
 
+auto toWire(const std::vector<base::region_id> &regions) -> std::vector<std::string>
+{
+    std::vector<std::string> out;
+    out.reserve(regions.size());
+    for (const auto &region : regions) {
+        out.push_back(region.str());
+    }
+    return out;
+}
+
+auto regionsFromWire(const std::vector<std::string> &names) -> std::vector<base::region_id>
+{
+    std::vector<base::region_id> out;
+    out.reserve(names.size());
+    for (const auto &name : names) {
+        out.emplace_back(name);
+    }
+    return out;
+}
+
 auto toWire(const organisation &item) -> wire::organisation
 {
     wire::organisation out;
@@ -36,6 +56,7 @@
     out.burst = item.burst;
     out.weight = item.weight;
     out.priority = item.priority;
+    out.allowed_regions = toWire(item.allowedRegions);
     return out;
 }
 
@@ -59,6 +80,9 @@
     out.retry_percent = item.retryPercent;
     out.max_attempts = item.maxAttempts;
     out.warm_up_ms = item.warmUp.count();
+    out.cold_rate = item.coldRate;
+    out.cold_ms = item.coldTime.count();
+    out.health_path = item.healthPath;
     return out;
 }
 
@@ -86,6 +110,7 @@
         out.split.push_back(std::move(wirePart));
     }
     out.large_bodies = item.hasLargeBodies;
+    out.allowed_regions = toWire(item.allowedRegions);
     return out;
 }
 
@@ -117,8 +142,12 @@
 
 auto fromWire(const wire::organisation &item) -> organisation
 {
-    return {base::organisation_id(item.id), item.rate, static_cast<std::uint32_t>(item.burst),
-            static_cast<std::uint32_t>(item.weight), static_cast<std::uint32_t>(item.priority)};
+    return {base::organisation_id(item.id),
+            item.rate,
+            static_cast<std::uint32_t>(item.burst),
+            static_cast<std::uint32_t>(item.weight),
+            static_cast<std::uint32_t>(item.priority),
+            regionsFromWire(item.allowed_regions)};
 }
 
 auto fromWire(const wire::service_entry &item) -> service
@@ -130,7 +159,10 @@
             static_cast<std::uint32_t>(item.queue_per_slot),
             static_cast<std::uint32_t>(item.retry_percent),
             static_cast<std::uint32_t>(item.max_attempts),
-            base::milliseconds(item.warm_up_ms)};
+            base::milliseconds(item.warm_up_ms),
+            item.cold_rate,
+            base::milliseconds(item.cold_ms),
+            item.health_path};
 }
 
 auto fromWire(const wire::route_entry &item) -> route
@@ -150,7 +182,8 @@
             static_cast<std::uint32_t>(item.priority),
             static_cast<std::uint32_t>(item.max_attempts),
             fromWire(item.split),
-            item.large_bodies};
+            item.large_bodies,
+            regionsFromWire(item.allowed_regions)};
 }
 
 } // namespace
--- a/src/config/meshsettings.h
+++ b/src/config/meshsettings.h
@@ -8,6 +8,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -15,6 +16,14 @@
 
 namespace hawthornpick::config {
 
+//! Order in which waiting requests get a slot of an upstream.
+enum class waiting_order : std::uint8_t {
+    //! Earliest start deadline first.
+    Urgency,
+    //! Lowest cost of a refusal last; see docs/design/overload.md.
+    Cost,
+};
+
 //! Settings of one process of a fleet whose nodes discover each other through seed nodes.
 struct mesh_settings
 {
@@ -60,6 +69,17 @@
     //! Length of the window to which the retry limits apply.
     base::milliseconds repeatWindow{10'000};
 
+    //! Failure domains of the fleet with their regions; empty if they are not known.
+    std::map<base::failure_domain_id, base::region_id> failureDomains;
+    //! Ratio by which the rate of an upstream that is cold may exceed the rate of its service.
+    double coldOverage = 1.0;
+
+    waiting_order order = waiting_order::Urgency;
+    //! True if requests are sent to other regions in proportion to the room that these report.
+    bool followsRemoteRoom = false;
+    //! Names of options of the platform, which its adapter translates.
+    std::vector<std::string> platformOptions;
+
     std::uint32_t maxCallerConnections = 3000;
     base::log_level logLevel = base::log_level::Info;
 
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -25,6 +25,8 @@
     std::uint32_t weight = 1;
     //! Priority of its requests, 0 being the highest; compared before the priority of the route.
     std::uint32_t priority = 0;
+    //! Regions in which its requests may be executed, sorted; empty allows all.
+    std::vector<base::region_id> allowedRegions = {};
 
     auto operator<=>(const organisation &) const = default;
 };
@@ -55,6 +57,12 @@
     std::uint32_t maxAttempts = 3;
     //! Slow-start time in which a new or returning upstream ramps up to its full share of requests.
     base::milliseconds warmUp{5000};
+    //! Requests per second that an upstream may be given while it is cold; 0 means no limit.
+    double coldRate = 0.0;
+    //! Time for which an upstream stays cold after its start.
+    base::milliseconds coldTime{0};
+    //! Path of a GET request that an upstream answers with its state; empty if there is none.
+    std::string healthPath = {};
 
     auto operator<=>(const service &) const = default;
 };
@@ -109,6 +117,9 @@
     //! True if callers send large bodies on this route. The entry node refuses a request that can't
     //! be placed before it reads the body, and buffers more of the body before it sends an attempt.
     bool hasLargeBodies = false;
+    //! Regions in which its requests may be executed, sorted; empty allows all. Where the route and
+    //! the organisation both name regions, both lists bind.
+    std::vector<base::region_id> allowedRegions = {};
 
     //! Returns the response latency up to which an answer has its full value.
     [[nodiscard]] auto effectiveTarget() const -> base::milliseconds
--- a/src/config/tests/meshsettingstest.cpp
+++ b/src/config/tests/meshsettingstest.cpp
@@ -36,6 +36,28 @@
     DOUBLES_EQUAL(62.0, result->repeatSlack, 0.0);
 }
 
+// Guards against sections of the deployment that are read, but not kept.
+TEST(mesh_settings, topologyAndLoadAreParsed)
+{
+    const auto result = config::parseMeshSettings(
+            "f", SETTINGS
+                         + "[topology]\ndomain = r-a:r\ndomain = q-a:q\n[load]\norder = cost\n"
+                           "follow_remote_room = yes\n[platform]\noptions = base,drain\n");
+    CHECK(result.has_value());
+    CHECK_EQUAL(2, result->failureDomains.size());
+    STRCMP_EQUAL("q", result->failureDomains.at(base::failure_domain_id("q-a")).str().c_str());
+    CHECK(result->order == config::waiting_order::Cost);
+    CHECK(result->followsRemoteRoom);
+    CHECK_EQUAL(2, result->platformOptions.size());
+}
+
+TEST(mesh_settings, domainWithoutRegionIsAnError)
+{
+    const auto result = config::parseMeshSettings("f", SETTINGS + "[topology]\ndomain = r-a\n");
+    CHECK(!result.has_value());
+    CHECK_EQUAL(1, result.error().size());
+}
+
 // Guards against a parser that reports only the first error of a file.
 TEST(mesh_settings, allErrorsAreReportedAtOnce)
 {
@@ -53,9 +75,9 @@
     CHECK(!result.has_value());
     CHECK_EQUAL(2, result.error().size());
     STRCMP_EQUAL("f:25: [node] section is repeated or unknown; allowed, once each, are [node], "
-                 "[listen], [upstream], [fleet] and [repeats]",
+                 "[listen], [upstream], [fleet], [repeats], [topology], [load] and [platform]",
                  toString(result.error().front()).c_str());
     STRCMP_EQUAL("f:27: [nodes] section is repeated or unknown; allowed, once each, are [node], "
-                 "[listen], [upstream], [fleet] and [repeats]",
+                 "[listen], [upstream], [fleet], [repeats], [topology], [load] and [platform]",
                  toString(result.error().back()).c_str());
 }
--- a/src/policy/slots.h
+++ b/src/policy/slots.h
@@ -7,6 +7,7 @@
 #include <compare>
 #include <cstdint>
 #include <functional>
+#include <limits>
 
 namespace hawthornpick::policy {
 
@@ -75,6 +76,11 @@
     double health = 1.0;
     //! Share of the requests that the upstreams accept although they have a free slot, 0 to 1.
     double acceptance = 1.0;
+    //! Requests with a higher priority rank than this are refused at present.
+    std::uint32_t lowestRank = std::numeric_limits<std::uint32_t>::max();
+    //! Requests per second that the upstreams may be given because they are cold; negative if they
+    //! are not.
+    double coldRate = -1.0;
 
     auto operator<=>(const service_load &) const = default;
 };
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -8,6 +8,10 @@
   4: i64 mean_service_us
   5: i32 health_percent
   6: i32 acceptance_percent
+  // Left out while all ranks are admitted.
+  7: optional i32 lowest_rank
+  // Set while the upstreams are cold.
+  8: optional double cold_rate
 }
 
 // Head of a request stream. `headers` holds the header lines to forward, each ended by CRLF. Fields
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -31,17 +31,30 @@
             std::chrono::duration_cast<std::chrono::microseconds>(load.meanServiceTime).count();
     out.acceptance_percent = static_cast<std::int32_t>(std::lround(load.acceptance * PERCENT));
     out.health_percent = static_cast<std::int32_t>(std::lround(load.health * PERCENT));
+    if (load.lowestRank != policy::service_load{}.lowestRank) {
+        out.__set_lowest_rank(static_cast<std::int32_t>(load.lowestRank));
+    }
+    if (load.coldRate >= 0.0) {
+        out.__set_cold_rate(load.coldRate);
+    }
     return out;
 }
 
 auto fromWire(const wire::load_report &load) -> policy::service_load
 {
-    return {static_cast<std::uint32_t>(load.usable_slots),
-            static_cast<std::uint32_t>(load.busy_slots),
-            static_cast<std::uint32_t>(load.waiting),
-            std::chrono::microseconds(load.mean_service_us),
-            static_cast<double>(load.health_percent) / PERCENT,
-            static_cast<double>(load.acceptance_percent) / PERCENT};
+    policy::service_load out{static_cast<std::uint32_t>(load.usable_slots),
+                             static_cast<std::uint32_t>(load.busy_slots),
+                             static_cast<std::uint32_t>(load.waiting),
+                             std::chrono::microseconds(load.mean_service_us),
+                             static_cast<double>(load.health_percent) / PERCENT,
+                             static_cast<double>(load.acceptance_percent) / PERCENT};
+    if (load.__isset.lowest_rank) {
+        out.lowestRank = static_cast<std::uint32_t>(load.lowest_rank);
+    }
+    if (load.__isset.cold_rate) {
+        out.coldRate = load.cold_rate;
+    }
+    return out;
 }
 
 auto errorFromWire(std::int8_t number, std::string detail) -> base::error
