quorum: keep the evacuations in the register

Operators can empty a failure domain; the order must survive restarts and lost disks as a configuration does. The value gets the list of evacuations with a revision. An order names the revision that it was checked against and is applied to that one only, so a delayed copy can't undo a later order whatever the clocks say; its random id makes repeats recognisable. The version and conflicts of configurations are not affected. The randomized fleet test checks the sequence of orders under loss, duplication, cuts, crashes, slow and lost disks.

--- a/src/quorum/configchange.h
+++ b/src/quorum/configchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/evacuation.h"
 #include "base/ids.h"
 
 #include <compare>
@@ -35,6 +36,25 @@
     auto operator<=>(const config_change &) const = default;
 };
 
+//! Start or end of the evacuation of a failure domain, requested by an operator. The node that the
+//! operator called reads the list first and bases the order on it, so that a copy that is delayed
+//! until after a later order changes nothing, whatever the clocks of the nodes say.
+struct evacuation_order
+{
+    //! Random; equal only for repetitions of the same order.
+    std::uint64_t id = 0;
+    //! Revision of the list that the order was checked against. The order is applied only to this
+    //! revision.
+    std::uint64_t baseRevision = 0;
+    base::failure_domain_id failureDomain;
+    //! False for an order that ends the evacuation.
+    bool starts = true;
+    //! Wall-clock time of the order in milliseconds since 1970-01-01 UTC.
+    std::uint64_t since = 0;
+
+    auto operator<=>(const evacuation_order &) const = default;
+};
+
 //! The change is committed, by this request or by an earlier one with the same digest.
 struct change_accepted
 {
@@ -76,8 +96,30 @@
     auto operator<=>(const current_document &) const = default;
 };
 
-using group_answer = std::variant<change_accepted, change_conflict, change_invalid,
-                                  group_unavailable, current_document>;
+//! The evacuation order is committed, by this request or by an earlier one with the same id.
+struct order_accepted
+{
+    auto operator<=>(const order_accepted &) const = default;
+};
+
+//! The evacuation order was not applied, because another one came after its base revision. A copy
+//! of an order that was applied gets this answer only after `MAX_RETAINED_ORDERS` others.
+struct order_outdated
+{
+    auto operator<=>(const order_outdated &) const = default;
+};
+
+//! Answer to a read of the evacuations that a majority has confirmed.
+struct current_evacuations
+{
+    base::evacuation_list list;
+
+    auto operator<=>(const current_evacuations &) const = default;
+};
+
+using group_answer =
+        std::variant<change_accepted, change_conflict, change_invalid, group_unavailable,
+                     current_document, order_accepted, order_outdated, current_evacuations>;
 
 //! Returns the document that results from applying `change` to `current`, or the reason why the
 //! change is invalid.
--- a/src/quorum/groupstate.h
+++ b/src/quorum/groupstate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/evacuation.h"
 #include "base/ids.h"
 
 #include <compare>
@@ -54,6 +55,11 @@
     std::vector<accepted_change> changes;
     //! In ascending order.
     std::vector<member> voters;
+    //! Its revision is the number of orders so far, also of those that left the items unchanged.
+    base::evacuation_list evacuations = {};
+    //! Identities of the newest orders in `evacuations`, at most `MAX_RETAINED_ORDERS`, oldest
+    //! first.
+    std::vector<std::uint64_t> evacuationOrders = {};
 
     auto operator<=>(const group_value &) const = default;
 
@@ -62,6 +68,9 @@
     //! True if one of `changes` has this digest.
     //! Thread safety: immutable.
     [[nodiscard]] auto hasAcceptedChange(const std::string &digest) const -> bool;
+    //! True if `evacuations` contains the order with this identity, and few others came after it.
+    //! Thread safety: immutable.
+    [[nodiscard]] auto hasAcceptedOrder(std::uint64_t id) const -> bool;
 };
 
 using value_pointer = std::shared_ptr<const group_value>;
@@ -82,4 +91,8 @@
 //! within seconds, and make a few hundred changes per day.
 inline constexpr std::size_t MAX_RETAINED_CHANGES = 512;
 
+//! Number of evacuation orders that are kept to recognise repeated ones. A copy of an older order
+//! changes nothing, because its base revision is outdated.
+inline constexpr std::size_t MAX_RETAINED_ORDERS = 64;
+
 } // namespace hawthornpick::quorum
--- a/src/quorum/idl/quorumwire.thrift
+++ b/src/quorum/idl/quorumwire.thrift
@@ -11,6 +11,16 @@
   2: binary digest
 }
 
+struct evacuation {
+  1: string failure_domain
+  2: i64 since
+}
+
+struct evacuation_list {
+  1: i64 revision
+  2: list<evacuation> items
+}
+
 // The whole replicated state. Each value replaces the previous one.
 struct group_value {
   1: i64 term
@@ -19,6 +29,10 @@
   4: binary content
   5: list<accepted_change> changes
   6: list<member> voters
+  // Left out before the first order.
+  7: optional evacuation_list evacuations
+  // Identities of the newest orders that the list contains, oldest first.
+  8: optional list<i64> evacuation_orders
 }
 
 struct vote_request {
@@ -59,6 +73,14 @@
   1: member newcomer
 }
 
+struct evacuation_order {
+  1: i64 id
+  2: i64 base_revision
+  3: string failure_domain
+  4: bool starts
+  5: i64 since
+}
+
 // Operator request that a node forwards to the leader.
 struct operator_request {
   1: i64 number
@@ -69,6 +91,7 @@
   6: binary digest
   7: i8 format
   8: binary body
+  9: optional evacuation_order evacuation
 }
 
 struct operator_answer {
@@ -77,6 +100,7 @@
   3: i64 version
   4: string detail
   5: binary content
+  6: optional evacuation_list evacuations
 }
 
 struct message {
--- a/src/quorum/internal/groupstate.cpp
+++ b/src/quorum/internal/groupstate.cpp
@@ -15,4 +15,10 @@
                        [&digest](const accepted_change &item) { return item.digest == digest; });
 }
 
+auto group_value::hasAcceptedOrder(std::uint64_t id) const -> bool
+{
+    return std::find(evacuationOrders.rbegin(), evacuationOrders.rend(), id)
+           != evacuationOrders.rend();
+}
+
 } // namespace hawthornpick::quorum
--- a/src/quorum/internal/messages.cpp
+++ b/src/quorum/internal/messages.cpp
@@ -14,6 +14,9 @@
     Invalid = 2,
     Unavailable = 3,
     Document = 4,
+    OrderAccepted = 5,
+    OrderOutdated = 6,
+    Evacuations = 7,
 };
 
 auto toWire(const member &item) -> wire::member
@@ -29,6 +32,48 @@
     return {base::node_id(item.node), static_cast<std::uint64_t>(item.disk)};
 }
 
+auto toWire(const base::evacuation_list &list) -> wire::evacuation_list
+{
+    wire::evacuation_list out;
+    out.revision = static_cast<std::int64_t>(list.revision);
+    for (const auto &item : list.items) {
+        wire::evacuation entry;
+        entry.failure_domain = item.failureDomain.str();
+        entry.since = static_cast<std::int64_t>(item.since);
+        out.items.push_back(std::move(entry));
+    }
+    return out;
+}
+
+auto fromWire(const wire::evacuation_list &in) -> base::evacuation_list
+{
+    base::evacuation_list list;
+    list.revision = static_cast<std::uint64_t>(in.revision);
+    for (const auto &item : in.items) {
+        list.items.push_back({base::failure_domain_id(item.failure_domain),
+                              static_cast<std::uint64_t>(item.since)});
+    }
+    return list;
+}
+
+auto toWire(const evacuation_order &order) -> wire::evacuation_order
+{
+    wire::evacuation_order out;
+    out.id = static_cast<std::int64_t>(order.id);
+    out.base_revision = static_cast<std::int64_t>(order.baseRevision);
+    out.failure_domain = order.failureDomain.str();
+    out.starts = order.starts;
+    out.since = static_cast<std::int64_t>(order.since);
+    return out;
+}
+
+auto fromWire(const wire::evacuation_order &in) -> evacuation_order
+{
+    return {static_cast<std::uint64_t>(in.id), static_cast<std::uint64_t>(in.base_revision),
+            base::failure_domain_id(in.failure_domain), in.starts,
+            static_cast<std::uint64_t>(in.since)};
+}
+
 auto toWire(const group_value &value) -> wire::group_value
 {
     wire::group_value out;
@@ -45,6 +90,14 @@
     for (const auto &item : value.voters) {
         out.voters.push_back(toWire(item));
     }
+    if (value.evacuations.revision > 0) {
+        out.__set_evacuations(toWire(value.evacuations));
+        std::vector<std::int64_t> orders;
+        for (const auto id : value.evacuationOrders) {
+            orders.push_back(static_cast<std::int64_t>(id));
+        }
+        out.__set_evacuation_orders(orders);
+    }
     return out;
 }
 
@@ -60,6 +113,10 @@
     for (const auto &item : in.voters) {
         value.voters.push_back(fromWire(item));
     }
+    value.evacuations = fromWire(in.evacuations);
+    for (const auto id : in.evacuation_orders) {
+        value.evacuationOrders.push_back(static_cast<std::uint64_t>(id));
+    }
     return std::make_shared<const group_value>(std::move(value));
 }
 
@@ -126,6 +183,9 @@
         part.digest = item.change.digest;
         part.format = static_cast<std::int8_t>(item.change.format);
         part.body = item.change.body;
+        if (item.kind == operator_request_kind::EvacuationOrder) {
+            part.__set_evacuation(toWire(item.order));
+        }
         out.__set_ask(part);
     }
     auto operator()(const operator_answer &item) const -> void;
@@ -158,6 +218,19 @@
         set(answer_kind::Document, item.version);
         out.content = item.content;
     }
+    auto operator()(const order_accepted & /*item*/) const -> void
+    {
+        set(answer_kind::OrderAccepted, 0);
+    }
+    auto operator()(const order_outdated & /*item*/) const -> void
+    {
+        set(answer_kind::OrderOutdated, 0);
+    }
+    auto operator()(const current_evacuations &item) const -> void
+    {
+        set(answer_kind::Evacuations, 0);
+        out.__set_evacuations(toWire(item.list));
+    }
 
 private:
     auto set(answer_kind kind, base::config_version version) const -> void
@@ -187,6 +260,12 @@
         return change_invalid{std::move(in.detail)};
     case answer_kind::Document:
         return current_document{version, std::move(in.content)};
+    case answer_kind::OrderAccepted:
+        return order_accepted{};
+    case answer_kind::OrderOutdated:
+        return order_outdated{};
+    case answer_kind::Evacuations:
+        return current_evacuations{fromWire(in.evacuations)};
     case answer_kind::Unavailable:
         break;
     }
@@ -205,6 +284,7 @@
     out.change.format = static_cast<change_format>(in.format);
     out.change.body = std::move(in.body);
     out.change.digest = std::move(in.digest);
+    out.order = fromWire(in.evacuation);
     return out;
 }
 
--- a/src/quorum/internal/quorumnode.cpp
+++ b/src/quorum/internal/quorumnode.cpp
@@ -207,8 +207,15 @@
 
     auto startOnReplica(operator_request request, base::time_point now) -> std::uint64_t
     {
-        if (request.kind == operator_request_kind::Read) {
+        switch (request.kind) {
+        case operator_request_kind::Read:
             return m_replica->read(now);
+        case operator_request_kind::EvacuationOrder:
+            return m_replica->submitOrder(std::move(request.order), now);
+        case operator_request_kind::EvacuationRead:
+            return m_replica->readEvacuations(now);
+        case operator_request_kind::Change:
+            break;
         }
         return m_replica->submit(std::move(request.change), now);
     }
@@ -329,21 +336,38 @@
     return m_state->tick(now);
 }
 
-auto quorum_node::change(config_change requestedChange, base::duration timeout)
+auto quorum_node::submit(operator_request request, base::duration timeout)
         -> boost::asio::awaitable<group_answer>
 {
-    operator_request request{0, operator_request_kind::Change, std::move(requestedChange)};
     co_return co_await base::awaitCallback<group_answer>(
             [this, &request, timeout](answer_function onAnswer) {
                 m_state->submitRequest(std::move(request), timeout, std::move(onAnswer));
             });
 }
 
+auto quorum_node::change(config_change requestedChange, base::duration timeout)
+        -> boost::asio::awaitable<group_answer>
+{
+    return submit({.kind = operator_request_kind::Change, .change = std::move(requestedChange)},
+                  timeout);
+}
+
 auto quorum_node::read(base::duration timeout) -> boost::asio::awaitable<group_answer>
 {
-    co_return co_await base::awaitCallback<group_answer>([this, timeout](answer_function onAnswer) {
-        m_state->submitRequest({0, operator_request_kind::Read, {}}, timeout, std::move(onAnswer));
-    });
+    return submit({.kind = operator_request_kind::Read}, timeout);
+}
+
+auto quorum_node::order(evacuation_order requestedOrder, base::duration timeout)
+        -> boost::asio::awaitable<group_answer>
+{
+    return submit(
+            {.kind = operator_request_kind::EvacuationOrder, .order = std::move(requestedOrder)},
+            timeout);
+}
+
+auto quorum_node::readEvacuations(base::duration timeout) -> boost::asio::awaitable<group_answer>
+{
+    return submit({.kind = operator_request_kind::EvacuationRead}, timeout);
 }
 
 auto quorum_node::isFresh(base::time_point now, base::duration maxAge) const -> bool
--- a/src/quorum/internal/replica.cpp
+++ b/src/quorum/internal/replica.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr const char *NOT_LEADER = "this node is not a ready leader of the quorum group";
+
 auto initialValue(const std::vector<base::node_id> &nodes) -> value_pointer
 {
     group_value value;
@@ -72,27 +74,55 @@
 }
 
 auto replica::submit(config_change change, base::time_point now) -> std::uint64_t
+{
+    return enqueue(std::move(change), now);
+}
+
+auto replica::submitOrder(evacuation_order order, base::time_point now) -> std::uint64_t
+{
+    return enqueue(std::move(order), now);
+}
+
+auto replica::enqueue(std::variant<config_change, evacuation_order> request, base::time_point now)
+        -> std::uint64_t
 {
     const auto requestId = ++m_lastRequestId;
     if (!isReadyLeader()) {
-        completeRequest(requestId,
-                        group_unavailable{"this node is not a ready leader of the quorum group"});
+        completeRequest(requestId, group_unavailable{NOT_LEADER});
         return requestId;
     }
-    m_queuedChanges.push_back({requestId, std::move(change)});
+    m_queuedChanges.push_back({requestId, std::move(request)});
     proposeNextValue(now);
     return requestId;
 }
 
 auto replica::read(base::time_point now) -> std::uint64_t
+{
+    return startRead(
+            [](const group_value &committed) -> group_answer {
+                return current_document{committed.version, committed.content};
+            },
+            now);
+}
+
+auto replica::readEvacuations(base::time_point now) -> std::uint64_t
+{
+    return startRead(
+            [](const group_value &committed) -> group_answer {
+                return current_evacuations{committed.evacuations};
+            },
+            now);
+}
+
+auto replica::startRead(group_answer (*readAnswer)(const group_value &committed),
+                        base::time_point now) -> std::uint64_t
 {
     const auto requestId = ++m_lastRequestId;
     if (!isReadyLeader()) {
-        completeRequest(requestId,
-                        group_unavailable{"this node is not a ready leader of the quorum group"});
+        completeRequest(requestId, group_unavailable{NOT_LEADER});
         return requestId;
     }
-    m_pendingConfirmations.push_back({requestId, ++m_confirmationRound, std::nullopt});
+    m_pendingConfirmations.push_back({requestId, ++m_confirmationRound, readAnswer});
     sendAppends(now, true);
     completeConfirmedRequests();
     return requestId;
@@ -319,8 +349,8 @@
     const auto majorityRound = confirmedRounds.at(confirmedRounds.size() / 2);
     for (auto &item : m_pendingConfirmations) {
         if (item.requiredRound <= majorityRound) {
-            completeRequest(item.requestId, item.answer.value_or(current_document{
-                                                    m_committed->version, m_committed->content}));
+            completeRequest(item.requestId,
+                            item.answer ? std::move(*item.answer) : item.readAnswer(*m_committed));
         }
     }
     std::erase_if(m_pendingConfirmations, [majorityRound](const pending_confirmation &item) {
@@ -358,9 +388,10 @@
     bool hasChanges = false;
     bool needsConfirmation = false;
     for (auto &item : std::exchange(m_queuedChanges, {})) {
-        const auto previousVersion = next.version;
-        auto answer = applyChange(item.change, next);
-        hasChanges = hasChanges || next.version != previousVersion;
+        const auto previous = std::pair(next.version, next.evacuations.revision);
+        auto answer = std::visit([&](const auto &request) { return applyRequest(request, next); },
+                                 item.request);
+        hasChanges = hasChanges || std::pair(next.version, next.evacuations.revision) != previous;
         if (hasChanges) {
             // This answer depends on the new value, so it waits for that value's commit.
             m_answersAwaitingCommit.push_back({item.requestId, std::move(answer)});
@@ -369,7 +400,7 @@
         // This answer changes nothing, but a majority must still confirm the leader: one that was
         // replaced without noticing must neither refuse a change nor report it as accepted.
         m_pendingConfirmations.push_back(
-                {item.requestId, m_confirmationRound + 1, std::move(answer)});
+                {item.requestId, m_confirmationRound + 1, nullptr, std::move(answer)});
         needsConfirmation = true;
     }
     if (needsConfirmation) {
@@ -380,7 +411,7 @@
     return hasChanges;
 }
 
-auto replica::applyChange(const config_change &change, group_value &next) -> group_answer
+auto replica::applyRequest(const config_change &change, group_value &next) -> group_answer
 {
     if (next.hasAcceptedChange(change.digest)) {
         return change_accepted{change.version};
@@ -406,6 +437,33 @@
     return change_accepted{change.version};
 }
 
+// An order whose effect is already in force is written all the same: its revision makes the copies
+// of earlier orders outdated, which could undo it otherwise.
+auto replica::applyRequest(const evacuation_order &order, group_value &next) -> group_answer
+{
+    if (next.hasAcceptedOrder(order.id)) {
+        return order_accepted{};
+    }
+    auto &list = next.evacuations;
+    if (order.baseRevision != list.revision) {
+        return order_outdated{};
+    }
+    ++list.revision;
+    next.evacuationOrders.push_back(order.id);
+    if (next.evacuationOrders.size() > MAX_RETAINED_ORDERS) {
+        next.evacuationOrders.erase(next.evacuationOrders.begin());
+    }
+    if (!order.starts) {
+        std::erase_if(list.items, [&](const base::evacuation &item) {
+            return item.failureDomain == order.failureDomain;
+        });
+    } else if (!list.contains(order.failureDomain)) {
+        const base::evacuation added{order.failureDomain, order.since};
+        list.items.insert(std::lower_bound(list.items.begin(), list.items.end(), added), added);
+    }
+    return order_accepted{};
+}
+
 auto replica::proposeValue(group_value next, base::time_point now) -> void
 {
     next.position = {m_state.term, newestPosition().index + 1};
--- a/src/quorum/messages.h
+++ b/src/quorum/messages.h
@@ -62,6 +62,8 @@
 enum class operator_request_kind : std::uint8_t {
     Change,
     Read,
+    EvacuationOrder,
+    EvacuationRead,
 };
 
 //! Operator request that a node forwards to the leader.
@@ -70,8 +72,10 @@
     //! Chosen by the forwarding node; the answer repeats it.
     std::uint64_t requestId = 0;
     operator_request_kind kind = operator_request_kind::Read;
-    //! Unused for a read.
-    config_change change;
+    //! Used only for a change.
+    config_change change = {};
+    //! Used only for an evacuation order.
+    evacuation_order order = {};
 };
 
 struct operator_answer
--- a/src/quorum/quorumnode.h
+++ b/src/quorum/quorumnode.h
@@ -43,11 +43,18 @@
     auto change(config_change requestedChange, base::duration timeout)
             -> boost::asio::awaitable<group_answer>;
     auto read(base::duration timeout) -> boost::asio::awaitable<group_answer>;
+    //! As `change` and `read`, for an evacuation order and the evacuations.
+    auto order(evacuation_order requestedOrder, base::duration timeout)
+            -> boost::asio::awaitable<group_answer>;
+    auto readEvacuations(base::duration timeout) -> boost::asio::awaitable<group_answer>;
 
     //! Same as `replica::isFresh`; false until the durable state is loaded.
     [[nodiscard]] auto isFresh(base::time_point now, base::duration maxAge) const -> bool;
 
 private:
+    auto submit(operator_request request, base::duration timeout)
+            -> boost::asio::awaitable<group_answer>;
+
     class state;
     std::shared_ptr<state> m_state;
 };
--- a/src/quorum/replica.h
+++ b/src/quorum/replica.h
@@ -50,8 +50,9 @@
     group_answer answer;
 };
 
-//! Replica of the quorum group: a replicated register that holds the configuration and the list of
-//! voters. Performs no I/O; its owner delivers messages, calls `tick` and writes the storage jobs.
+//! Replica of the quorum group: a replicated register that holds the configuration, the evacuations
+//! and the list of voters. Performs no I/O; its owner delivers messages, calls `tick` and writes
+//! the storage jobs.
 //!
 //! A majority of the voters elects a leader; a pre-vote round precedes each new term. A value is
 //! committed when a majority of the voters has it on disk. Each value contains the whole state, so
@@ -100,9 +101,15 @@
     //! answer. The answer is `group_unavailable` unless `isReadyLeader()`.
     auto submit(config_change change, base::time_point now) -> std::uint64_t;
 
+    //! Starts an evacuation order, as `submit` does a change. Several orders with the same base
+    //! revision can be in flight; the first one is applied and the others are answered as outdated.
+    auto submitOrder(evacuation_order order, base::time_point now) -> std::uint64_t;
+
     //! Starts a read of the committed value, which is answered once a majority of the voters has
     //! confirmed the leader. Returns its request ID as `submit` does.
     auto read(base::time_point now) -> std::uint64_t;
+    //! As `read`, for the evacuations.
+    auto readEvacuations(base::time_point now) -> std::uint64_t;
 
     //! Reports that the state of the storage job with this revision is on disk.
     auto onStatePersisted(std::uint64_t revision, base::time_point now) -> void;
@@ -147,7 +154,7 @@
     struct queued_change
     {
         std::uint64_t requestId = 0;
-        config_change change;
+        std::variant<config_change, evacuation_order> request;
     };
     // Request whose answer is sent once a majority has confirmed the leader.
     struct pending_confirmation
@@ -155,8 +162,10 @@
         std::uint64_t requestId = 0;
         //! First confirmation round that began after the request.
         std::int64_t requiredRound = 0;
-        //! Answer to a change that needs no new value; empty for a read.
-        std::optional<group_answer> answer;
+        //! Returns the answer from the committed value; null for a request whose answer is known.
+        group_answer (*readAnswer)(const group_value &committed) = nullptr;
+        //! Answer to a change or order that needs no new value.
+        std::optional<group_answer> answer = std::nullopt;
     };
     // Message that is sent once the state with `requiredRevision` is on disk.
     struct deferred_message
@@ -189,7 +198,12 @@
     auto completeConfirmedRequests() -> void;
     auto proposeNextValue(base::time_point now) -> void;
     auto applyQueuedChanges(group_value &next, base::time_point now) -> bool;
-    auto applyChange(const config_change &change, group_value &next) -> group_answer;
+    auto applyRequest(const config_change &change, group_value &next) -> group_answer;
+    static auto applyRequest(const evacuation_order &order, group_value &next) -> group_answer;
+    auto enqueue(std::variant<config_change, evacuation_order> request, base::time_point now)
+            -> std::uint64_t;
+    auto startRead(group_answer (*readAnswer)(const group_value &committed), base::time_point now)
+            -> std::uint64_t;
     auto proposeValue(group_value next, base::time_point now) -> void;
     auto failRequests(const std::string &reason) -> void;
     auto completeRequest(std::uint64_t requestId, group_answer answer) -> void;
--- a/src/quorum/tests/quorumfleet.cpp
+++ b/src/quorum/tests/quorumfleet.cpp
@@ -1,6 +1,7 @@
 #include "quorum/tests/quorumfleet.h"
 
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
 
 namespace hawthornpick::testing {
 
@@ -43,6 +44,7 @@
             options, m_disks[node], appendText, base::random_source(m_network.random().bits()),
             m_network.now());
     m_lastSeenVersions.erase(node);
+    m_lastSeenRevisions.erase(node);
     const auto receive = [this, node](const base::node_id &from, base::channel /*kind*/,
                                       std::string_view payload, base::time_point now) {
         if (const auto content = quorum::decodeMessage(payload)) {
@@ -81,9 +83,37 @@
                        "a confirmed read returned a version older than an accepted change");
         }
         m_pendingReads.erase(key);
+        onOrderAnswer(node, completed);
     }
 }
 
+// The read that an order is based on must contain each order that was accepted before its start.
+auto quorum_fleet::onOrderAnswer(const base::node_id &node,
+                                 const quorum::completed_request &completed) -> void
+{
+    const auto key = std::pair(node, completed.requestId);
+    const auto started = m_startedOrders.find(key);
+    const auto *read = std::get_if<quorum::current_evacuations>(&completed.answer);
+    if (started != m_startedOrders.end() && read != nullptr) {
+        auto order = started->second;
+        CHECK_TEXT(read->list.revision >= order.baseRevision,
+                   "a confirmed read of the evacuations lacked an accepted order");
+        order.baseRevision = read->list.revision;
+        order.id = m_orders.size() + 1;
+        m_orders.push_back(order);
+        m_unsentOrders.emplace_back(node, m_orders.size() - 1);
+    }
+    const auto request = m_orderRequests.find(key);
+    if (request != m_orderRequests.end()
+        && std::holds_alternative<quorum::order_accepted>(completed.answer)) {
+        m_acceptedOrders.insert(request->second);
+        m_highestAcceptedRevision =
+                std::max(m_highestAcceptedRevision, m_orders.at(request->second).baseRevision + 1);
+    }
+    m_startedOrders.erase(key);
+    m_orderRequests.erase(key);
+}
+
 auto quorum_fleet::finishWrites() -> void
 {
     for (auto write = m_pendingWrites.begin(); write != m_pendingWrites.end();) {
@@ -126,6 +156,56 @@
         lastSeenVersion = value->version;
         const auto known = m_contentByVersion.try_emplace(value->version, value->content).first;
         CHECK_TEXT(known->second == value->content, "one version has two different contents");
+        checkOrders(node, *value);
+    }
+}
+
+// Checks that the committed orders form one sequence, the same on all nodes at all times, in which
+// each order follows the revision that it is based on, and that the list is their result.
+auto quorum_fleet::checkOrders(const base::node_id &node, const quorum::group_value &value) -> void
+{
+    const auto revision = value.evacuations.revision;
+    auto &lastSeenRevision = m_lastSeenRevisions[node];
+    CHECK_TEXT(revision >= lastSeenRevision, "a node went back to older evacuations");
+    if (revision == lastSeenRevision) {
+        return;
+    }
+    lastSeenRevision = revision;
+    CHECK_TEXT(value.evacuationOrders.size()
+                       == std::min<std::size_t>(revision, quorum::MAX_RETAINED_ORDERS),
+               "an order is missing");
+    auto itsRevision = revision - value.evacuationOrders.size();
+    for (const auto id : value.evacuationOrders) {
+        const auto known = m_orderByRevision.try_emplace(++itsRevision, id).first;
+        CHECK_TEXT(known->second == id, "a committed order was replaced");
+        CHECK_TEXT(m_orders.at(id - 1).baseRevision + 1 == itsRevision,
+                   "an order was applied after another one than it is based on");
+    }
+    std::set<base::failure_domain_id> domains;
+    for (std::uint64_t applied = 1; applied <= revision; ++applied) {
+        const auto &order = m_orders.at(m_orderByRevision.at(applied) - 1);
+        if (order.starts) {
+            domains.insert(order.failureDomain);
+        } else {
+            domains.erase(order.failureDomain);
+        }
+    }
+    CHECK_TEXT(domains.size() == value.evacuations.items.size()
+                       && std::all_of(domains.begin(), domains.end(),
+                                      [&](const auto &domain) {
+                                          return value.evacuations.contains(domain);
+                                      }),
+               "the list of evacuations is not the result of the orders");
+}
+
+auto quorum_fleet::checkAcceptedOrders(const quorum::group_value &value) const -> void
+{
+    for (const auto index : m_acceptedOrders) {
+        const auto revision = m_orders.at(index).baseRevision + 1;
+        const auto committed = m_orderByRevision.find(revision);
+        CHECK_TEXT(revision <= value.evacuations.revision && committed != m_orderByRevision.end()
+                           && committed->second == m_orders.at(index).id,
+                   "an accepted order was lost");
     }
 }
 
@@ -140,7 +220,12 @@
     m_network.crash(node);
     m_replicas.erase(node);
     m_pendingWrites.erase(node);
-    std::erase_if(m_pendingReads, [&](const auto &item) { return item.first.first == node; });
+    const auto isOfNode = [&](const auto &item) {
+        return item.first.first == node;
+    };
+    std::erase_if(m_pendingReads, isOfNode);
+    std::erase_if(m_startedOrders, isOfNode);
+    std::erase_if(m_orderRequests, isOfNode);
 }
 
 auto quorum_fleet::crashAndWipeDisk(int index) -> void
@@ -188,6 +273,53 @@
     return true;
 }
 
+auto quorum_fleet::startOrder(int index, const std::string &domain, bool starts) -> bool
+{
+    if (!isUp(index)) {
+        return false;
+    }
+    const auto node = nodeName(index);
+    quorum::evacuation_order order;
+    order.baseRevision = m_highestAcceptedRevision;
+    order.failureDomain = base::failure_domain_id(domain);
+    order.starts = starts;
+    m_startedOrders[{node, m_replicas.at(node)->readEvacuations(m_network.now())}] = order;
+    deliverResults(node);
+    return true;
+}
+
+auto quorum_fleet::sendUnsentOrders() -> void
+{
+    for (const auto &[node, order] : std::exchange(m_unsentOrders, {})) {
+        if (m_replicas.contains(node)) {
+            sendOrder(node, order);
+        }
+    }
+}
+
+auto quorum_fleet::submitOrder(int index, quorum::evacuation_order order) -> void
+{
+    order.id = m_orders.size() + 1;
+    m_orders.push_back(order);
+    sendOrder(nodeName(index), m_orders.size() - 1);
+}
+
+auto quorum_fleet::resendOrder(int index, std::size_t order) -> bool
+{
+    if (!isUp(index)) {
+        return false;
+    }
+    sendOrder(nodeName(index), order);
+    return true;
+}
+
+auto quorum_fleet::sendOrder(const base::node_id &node, std::size_t order) -> void
+{
+    const auto requestId = m_replicas.at(node)->submitOrder(m_orders.at(order), m_network.now());
+    m_orderRequests[{node, requestId}] = order;
+    deliverResults(node);
+}
+
 auto quorum_fleet::leader() -> int
 {
     int found = -1;
--- a/src/quorum/tests/quorumfleet.h
+++ b/src/quorum/tests/quorumfleet.h
@@ -51,6 +51,21 @@
     //! newest change accepted so far.
     auto startRead(int index) -> bool;
 
+    //! Starts or ends the evacuation of a domain as a node does that an operator called: the order
+    //! is based on the list that the leader confirms. False if the node is down.
+    auto startOrder(int index, const std::string &domain, bool starts) -> bool;
+    //! Sends the orders whose lists have been read. Called some time after `startOrder`, or not at
+    //! all, so that an order is overtaken by others.
+    auto sendUnsentOrders() -> void;
+    //! Submits an order with a new identity on a node that is up.
+    auto submitOrder(int index, quorum::evacuation_order order) -> void;
+    //! Submits a copy of an order, counted from 0; false if the node is down.
+    auto resendOrder(int index, std::size_t order) -> bool;
+    [[nodiscard]] auto orderCount() const -> std::size_t { return m_orders.size(); }
+    //! Checks that a value contains each accepted order or its result.
+    auto checkAcceptedOrders(const quorum::group_value &value) const -> void;
+    [[nodiscard]] auto acceptedOrderCount() const -> std::size_t { return m_acceptedOrders.size(); }
+
     //! Index of the ready leader with the highest term; -1 if there is none.
     [[nodiscard]] auto leader() -> int;
     [[nodiscard]] auto highestAcceptedVersion() const -> base::config_version
@@ -86,6 +101,10 @@
     auto finishWrites() -> void;
     auto checkInvariants() -> void;
     auto submit(int index, const quorum::config_change &change) -> bool;
+    auto onOrderAnswer(const base::node_id &node, const quorum::completed_request &completed)
+            -> void;
+    auto sendOrder(const base::node_id &node, std::size_t order) -> void;
+    auto checkOrders(const base::node_id &node, const quorum::group_value &value) -> void;
 
     testsupport::virtual_network m_network;
     int m_nodeCount;
@@ -98,6 +117,17 @@
     std::map<base::config_version, std::string> m_contentByVersion;
     std::map<base::node_id, base::config_version> m_lastSeenVersions;
     std::vector<quorum::config_change> m_submittedChanges;
+    //! Orders whose read of the evacuations is in flight.
+    std::map<std::pair<base::node_id, std::uint64_t>, quorum::evacuation_order> m_startedOrders;
+    //! Requests of orders in flight, as indices in `m_orders`.
+    std::map<std::pair<base::node_id, std::uint64_t>, std::size_t> m_orderRequests;
+    std::vector<quorum::evacuation_order> m_orders;
+    std::vector<std::pair<base::node_id, std::size_t>> m_unsentOrders;
+    std::set<std::size_t> m_acceptedOrders;
+    //! Ids of the orders that were committed on any node.
+    std::map<std::uint64_t, std::uint64_t> m_orderByRevision;
+    std::map<base::node_id, std::uint64_t> m_lastSeenRevisions;
+    std::uint64_t m_highestAcceptedRevision = 0;
     base::milliseconds m_writeLatency{1};
     std::map<base::node_id, base::milliseconds> m_nodeWriteLatencies;
     base::config_version m_highestAcceptedVersion = 0;
--- a/src/quorum/tests/replicafaultstest.cpp
+++ b/src/quorum/tests/replicafaultstest.cpp
@@ -19,7 +19,7 @@
 {
     const int node = static_cast<int>(random.below(NODE_COUNT));
     const int other = static_cast<int>(random.below(NODE_COUNT));
-    switch (random.below(12)) {
+    switch (random.below(16)) {
     case 0:
         if (fleet.isUp(node)) {
             fleet.crash(node);
@@ -60,6 +60,21 @@
     case 9:
         fleet.startRead(node);
         break;
+    case 10:
+    case 11: {
+        const int target = fleet.leader() >= 0 ? fleet.leader() : node;
+        fleet.startOrder(target, "d" + std::to_string(random.below(3)), random.below(3) > 0);
+        break;
+    }
+    case 12:
+        fleet.sendUnsentOrders();
+        break;
+    case 13:
+        if (fleet.orderCount() > 0) {
+            fleet.resendOrder(fleet.leader() >= 0 ? fleet.leader() : node,
+                              random.below(fleet.orderCount()));
+        }
+        break;
     default:
         fleet.submitNewChange(fleet.leader() >= 0 ? fleet.leader() : node);
         break;
@@ -85,12 +100,13 @@
 
 TEST_GROUP(replica_faults){};
 
-// Guards against losing an accepted change, two contents of one version, a committed version that
-// decreases on a running node, and stale confirmed reads. Faults are crashes, one-way network cuts,
-// pauses, slow disks, lost and duplicated messages, and one lost disk at a time. The checks run
-// after each event.
+// Guards against losing an accepted change or evacuation order, an order that is undone by a copy
+// of an older one, two contents of one version, a committed version that decreases on a running
+// node, and stale confirmed reads. Faults are crashes, one-way network cuts, pauses, slow disks,
+// lost and duplicated messages, and one lost disk at a time. The checks run after each event.
 TEST(replica_faults, keepsAcceptedChangesUnderRandomFaults)
 {
+    std::size_t acceptedOrderCount = 0;
     for (std::uint64_t seed = 1; seed <= 60; ++seed) {
         quorum_fleet fleet(seed, NODE_COUNT, INITIAL_MEMBER_COUNT);
         base::random_source random(seed * 7919);
@@ -105,13 +121,18 @@
             }
         }
         repairAndRun(fleet);
+        fleet.sendUnsentOrders();
+        fleet.run(milliseconds(1000));
         const auto prefix = "seed " + std::to_string(seed);
         CHECK_TEXT(fleet.leader() >= 0,
                    (prefix + ": no leader after the faults were repaired").c_str());
         CHECK_TEXT(fleet.replica(fleet.leader()).committed()->version
                            >= fleet.highestAcceptedVersion(),
                    (prefix + ": an accepted change was lost").c_str());
+        fleet.checkAcceptedOrders(*fleet.replica(fleet.leader()).committed());
+        acceptedOrderCount += fleet.acceptedOrderCount();
         CHECK_TEXT(fleet.voters().size() >= 5,
                    (prefix + ": fewer than five voters after the faults were repaired").c_str());
     }
+    CHECK(acceptedOrderCount > 60);
 }
--- a/src/quorum/tests/replicatest.cpp
+++ b/src/quorum/tests/replicatest.cpp
@@ -173,3 +173,46 @@
     CHECK(fleet.leader() >= 0);
     CHECK_EQUAL(1, fleet.replica(fleet.leader()).committed()->version);
 }
+
+// Guards against an order that is lost when all members crash, against a late copy of it that
+// undoes the next order, and against an order that changes the configuration's version.
+TEST(replica, keepsNewestEvacuationOrderAfterAllMembersCrash)
+{
+    quorum_fleet fleet(9, 5, 3);
+    fleet.run(milliseconds(4000));
+    const base::failure_domain_id domain("d");
+    const quorum::evacuation_order start{0, 0, domain, true, 17};
+    fleet.submitOrder(fleet.leader(), start);
+    fleet.submitNewChange(fleet.leader());
+    fleet.run(milliseconds(500));
+    const auto committed = fleet.replica(fleet.leader()).committed();
+    CHECK(committed->evacuations == (base::evacuation_list{1, {{domain, 17}}}));
+    CHECK_EQUAL(1, committed->version);
+    fleet.submitOrder(fleet.leader(), {0, 1, domain, false, 18});
+    fleet.run(milliseconds(500));
+    for (int i = 0; i < 5; ++i) {
+        fleet.crash(i);
+    }
+    for (int i = 0; i < 5; ++i) {
+        fleet.start(i);
+    }
+    fleet.run(milliseconds(4000));
+    fleet.resendOrder(fleet.leader(), 0);
+    fleet.submitOrder(fleet.leader(), start);
+    fleet.run(milliseconds(500));
+    CHECK_EQUAL(2, fleet.acceptedOrderCount());
+    CHECK(fleet.replica(fleet.leader()).committed()->evacuations == (base::evacuation_list{2, {}}));
+    CHECK_EQUAL(1, fleet.replica(fleet.leader()).committed()->version);
+}
+
+// Guards against a value of an older program that can't be read, and one that loses its orders on
+// disk.
+TEST(replica, storesEvacuationsWithTheValue)
+{
+    quorum::group_value value;
+    value.version = 3;
+    CHECK(*quorum::decodeValue(quorum::encodeValue(value)) == value);
+    value.evacuations = {2, {{base::failure_domain_id("a"), 5}, {base::failure_domain_id("b"), 6}}};
+    value.evacuationOrders = {~0ULL, 7};
+    CHECK(*quorum::decodeValue(quorum::encodeValue(value)) == value);
+}
