fleet: distribute the evacuations

Hubs push the list when it is committed. Reports carry the known revision and answers the newer list, in both directions, also through deputies and between hubs; the higher revision wins, so a hub that restarts without it neither takes it back nor lacks it for longer than a report. Messages don't change before the first order.

--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -89,8 +89,11 @@
             -> messages;
     auto tick(base::time_point now) -> messages;
 
-    //! Stores a newer committed document and returns the messages that push it to nodes.
+    //! Stores a newer committed document and returns the messages that push it to nodes, with the
+    //! evacuations that the reporter of this node knows.
     auto publish(config_document document, base::time_point now) -> messages;
+    //! Returns the messages that push the evacuations that the reporter of this node knows.
+    [[nodiscard]] auto publishEvacuations(base::time_point now) const -> messages;
 
     //! Returns the messages that announce the state of this node.
     //! Precondition: the state of the reporter is `Leaving`.
@@ -165,6 +168,9 @@
                                    base::time_point now) const -> messages;
     [[nodiscard]] auto startAnswer(const report &content, base::time_point now) const
             -> report_answer;
+    [[nodiscard]] auto push(const config_notice &notice, base::time_point now) const -> messages;
+    [[nodiscard]] auto newerEvacuations(std::uint64_t revision) const
+            -> std::optional<base::evacuation_list>;
     [[nodiscard]] auto newerDocument(base::config_version version) const
             -> std::optional<config_document>;
     [[nodiscard]] auto nearerHubsFor(const report &content) const -> std::vector<node_record>;
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -44,6 +44,17 @@
   3: i32 admitted
 }
 
+struct evacuation {
+  1: string failure_domain
+  2: i64 since
+}
+
+// The evacuations in force; the list with the higher revision is newer.
+struct evacuation_list {
+  1: i64 revision
+  2: list<evacuation> items
+}
+
 // Sent by each node to its hub. `boot` identifies a process of the hub, and `change` is the number of
 // the last directory change that the node has received from it.
 struct report {
@@ -64,6 +75,10 @@
   10: optional bool tells_departures
   // Time of the sender's monotonic clock, which the answer repeats.
   11: optional i64 sent_at
+  // Revision of the evacuations that the sender knows; left out if there were none.
+  30: optional i64 evacuation_revision
+  // Set if the receiver knows only older ones.
+  31: optional evacuation_list evacuations
 }
 
 struct report_answer {
@@ -84,6 +99,10 @@
   12: optional i64 report_sent_at
   // Newest version that the hub has.
   13: optional i64 hub_version
+  // Revision of the evacuations that the hub knows; left out if there were none.
+  30: optional i64 evacuation_revision
+  // Set if it is higher than the reported one.
+  31: optional evacuation_list evacuations
 }
 
 // Sent by each hub to the other hubs of its region, with the summed usage of the nodes that report to
@@ -95,6 +114,8 @@
   4: list<usage> usages
   // Number of nodes in the sum.
   5: i32 nodes
+  // Revision of the evacuations that the sender knows; left out if there were none.
+  30: optional i64 evacuation_revision
 }
 
 struct sync_answer {
@@ -106,6 +127,8 @@
   5: i32 region_nodes
   // True if the sender's directory has been collected since its start.
   6: optional bool complete
+  // Set if they are newer than those of the receiver.
+  30: optional evacuation_list evacuations
 }
 
 // Asks a hub to store the sender's record.
@@ -119,10 +142,12 @@
   2: i64 sequence
 }
 
-// Pushed by a hub to its nodes when a version is committed.
+// Pushed by a hub to its nodes when a version or an evacuation is committed. Version 0 stands for no
+// document.
 struct config_notice {
   1: i64 version
   2: binary content
+  30: optional evacuation_list evacuations
 }
 
 // Usage that changed since the sender's last message with usage; sent between reports by a node to
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -84,10 +84,20 @@
 auto hub::publish(config_document document, base::time_point now) -> messages
 {
     m_document = std::move(document);
+    return push({m_document, m_reporter.evacuations()}, now);
+}
+
+auto hub::publishEvacuations(base::time_point now) const -> messages
+{
+    return push({{}, m_reporter.evacuations()}, now);
+}
+
+auto hub::push(const config_notice &notice, base::time_point now) const -> messages
+{
     messages out;
     for (const auto &[node, reporterState] : m_reporters) {
         if (now - reporterState.lastReportAt <= PUSH_MAX_REPORT_AGE) {
-            out.push_back(toOutgoingMessage(node, config_notice{m_document}));
+            out.push_back(toOutgoingMessage(node, notice));
         }
     }
     return out;
@@ -101,6 +111,9 @@
 auto hub::onReport(const base::node_id &from, const report &content, base::time_point now)
         -> messages
 {
+    if (content.evacuations) {
+        m_reporter.learnEvacuations(*content.evacuations);
+    }
     if (content.isProbe) {
         return answerProbe(from, content, now);
     }
@@ -158,9 +171,17 @@
     answer.reportSentAt = content.sentAt;
     answer.isFresh = m_isFresh(now);
     answer.hubVersion = m_document.version;
+    answer.evacuationRevision = m_reporter.evacuations().revision;
+    answer.evacuations = newerEvacuations(content.evacuationRevision);
     return answer;
 }
 
+auto hub::newerEvacuations(std::uint64_t revision) const -> std::optional<base::evacuation_list>
+{
+    const auto &known = m_reporter.evacuations();
+    return known.revision > revision ? std::optional(known) : std::nullopt;
+}
+
 auto hub::newerDocument(base::config_version version) const -> std::optional<config_document>
 {
     return m_document.version > version ? std::optional(m_document) : std::nullopt;
@@ -189,10 +210,10 @@
     m_records.merge(content.sender);
     if (content.sender.entry.region != self().entry.region) {
         const auto sum = regionUsage(now);
-        return {toOutgoingMessage(from, sync_answer{m_records.cursor(),
-                                                    recordsForOtherRegion(content.cursor),
-                                                    sum.usages, roundToCount(sum.nodeCount),
-                                                    isDirectoryComplete(now)})};
+        return {toOutgoingMessage(
+                from, sync_answer{m_records.cursor(), recordsForOtherRegion(content.cursor),
+                                  sum.usages, roundToCount(sum.nodeCount), isDirectoryComplete(now),
+                                  newerEvacuations(content.evacuationRevision)})};
     }
     auto &peer = m_peers[from];
     peer.lastRequestAt = now;
@@ -201,17 +222,21 @@
     // A change of the hub in use is announced by that hub alone: if all hubs passed it on, the
     // traffic of an election would grow with the square of their number.
     const auto records = m_records.changedOrReportingTo(self().entry.id, content.cursor);
-    if (records.empty()) {
+    const auto evacuations = newerEvacuations(content.evacuationRevision);
+    if (records.empty() && !evacuations) {
         return {};
     }
     return {toOutgoingMessage(from, sync_answer{m_records.cursor(), records, std::nullopt, 0,
-                                                isDirectoryComplete(now)})};
+                                                isDirectoryComplete(now), evacuations})};
 }
 
 auto hub::onSyncAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
         -> void
 {
     m_peers[from].cursor = content.cursor;
+    if (content.evacuations) {
+        m_reporter.learnEvacuations(*content.evacuations);
+    }
     const auto region = m_otherRegions.find(regionOf(from));
     if (region != m_otherRegions.end() && region->second.queriedHub == from
         && content.regionUsages) {
@@ -370,14 +395,19 @@
     for (const auto &target : targets) {
         out.push_back(
                 toOutgoingMessage(target, sync_request{self(), m_peers[target].cursor, local.usages,
-                                                       roundToCount(local.nodeCount)}));
+                                                       roundToCount(local.nodeCount),
+                                                       m_reporter.evacuations().revision}));
     }
     for (const auto &[region, candidates] : peers) {
         if (region != self().entry.region) {
             const auto queriedHub = selectQueriedHub(region, candidates, now);
             ++m_otherRegions[region].unansweredRequests;
-            out.push_back(toOutgoingMessage(
-                    queriedHub, sync_request{self(), m_peers[queriedHub].cursor, {}, 0}));
+            out.push_back(
+                    toOutgoingMessage(queriedHub, sync_request{self(),
+                                                               m_peers[queriedHub].cursor,
+                                                               {},
+                                                               0,
+                                                               m_reporter.evacuations().revision}));
         }
     }
     return out;
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -188,6 +188,54 @@
     return out;
 }
 
+auto toWire(const base::evacuation_list &list) -> wire::evacuation_list
+{
+    wire::evacuation_list out;
+    out.revision = static_cast<std::int64_t>(list.revision);
+    for (const auto &item : list.items) {
+        wire::evacuation entry;
+        entry.failure_domain = item.failureDomain.str();
+        entry.since = static_cast<std::int64_t>(item.since);
+        out.items.push_back(std::move(entry));
+    }
+    return out;
+}
+
+auto fromWire(const wire::evacuation_list &in) -> base::evacuation_list
+{
+    base::evacuation_list list;
+    list.revision = static_cast<std::uint64_t>(in.revision);
+    for (const auto &item : in.items) {
+        list.items.push_back({base::failure_domain_id(item.failure_domain),
+                              static_cast<std::uint64_t>(item.since)});
+    }
+    return list;
+}
+
+// Sets the members for evacuations of a message; they are left out before the first order.
+template <typename Wire, typename Content>
+auto writeEvacuations(Wire &encoded, const Content &content) -> void
+{
+    if constexpr (requires { content.evacuationRevision; }) {
+        if (content.evacuationRevision > 0) {
+            encoded.__set_evacuation_revision(
+                    static_cast<std::int64_t>(content.evacuationRevision));
+        }
+    }
+    if constexpr (requires { content.evacuations; }) {
+        if (content.evacuations) {
+            encoded.__set_evacuations(toWire(*content.evacuations));
+        }
+    }
+}
+
+template <typename Wire>
+auto evacuationsFromWire(const Wire &encoded) -> std::optional<base::evacuation_list>
+{
+    return encoded.__isset.evacuations ? std::optional(fromWire(encoded.evacuations))
+                                       : std::nullopt;
+}
+
 auto cursorFromWire(std::int64_t bootId, std::int64_t changeNumber) -> directory_cursor
 {
     return {static_cast<std::uint64_t>(bootId), static_cast<std::uint64_t>(changeNumber)};
@@ -282,6 +330,7 @@
             encoded.__set_tells_departures(true);
         }
         encoded.__set_sent_at(timeToWire(content.sentAt));
+        writeEvacuations(encoded, content);
         out.__set_node_report(encoded);
     }
     auto operator()(const report_answer &content) const -> void
@@ -301,6 +350,7 @@
         encoded.__set_complete(content.isDirectoryComplete);
         encoded.__set_report_sent_at(timeToWire(content.reportSentAt));
         encoded.__set_hub_version(static_cast<std::int64_t>(content.hubVersion));
+        writeEvacuations(encoded, content);
         out.__set_answer(encoded);
     }
     auto operator()(const sync_request &content) const -> void
@@ -311,6 +361,7 @@
         encoded.change = static_cast<std::int64_t>(content.cursor.changeNumber);
         encoded.usages = toWire(content.localUsages);
         encoded.nodes = static_cast<std::int32_t>(content.localNodeCount);
+        writeEvacuations(encoded, content);
         out.__set_sync(encoded);
     }
     auto operator()(const sync_answer &content) const -> void
@@ -324,6 +375,7 @@
         }
         encoded.region_nodes = static_cast<std::int32_t>(content.regionNodeCount);
         encoded.__set_complete(content.isDirectoryComplete);
+        writeEvacuations(encoded, content);
         out.__set_synced(encoded);
     }
     auto operator()(const config_notice &content) const -> void
@@ -331,6 +383,9 @@
         wire::config_notice encoded;
         encoded.version = static_cast<std::int64_t>(content.document.version);
         encoded.content = content.document.content;
+        if (content.evacuations.revision > 0) {
+            encoded.__set_evacuations(toWire(content.evacuations));
+        }
         out.__set_notice(encoded);
     }
     auto operator()(const usage_update &content) const -> void
@@ -378,6 +433,8 @@
     answer.isDirectoryComplete = encoded.complete;
     answer.reportSentAt = timeFromWire(encoded.report_sent_at);
     answer.hubVersion = static_cast<base::config_version>(encoded.hub_version);
+    answer.evacuationRevision = static_cast<std::uint64_t>(encoded.evacuation_revision);
+    answer.evacuations = evacuationsFromWire(encoded);
     return answer;
 }
 
@@ -467,7 +524,9 @@
                       encoded.distant,
                       fromWire(encoded.known_departures),
                       encoded.tells_departures,
-                      timeFromWire(encoded.sent_at)};
+                      timeFromWire(encoded.sent_at),
+                      static_cast<std::uint64_t>(encoded.evacuation_revision),
+                      evacuationsFromWire(encoded)};
     }
     if (decoded->__isset.answer) {
         return reportAnswerFromWire(decoded->answer);
@@ -478,7 +537,8 @@
         }
         const auto &encoded = decoded->sync;
         return sync_request{fromWire(encoded.sender), cursorFromWire(encoded.boot, encoded.change),
-                            fromWire(encoded.usages), nodeCountFromWire(encoded.nodes)};
+                            fromWire(encoded.usages), nodeCountFromWire(encoded.nodes),
+                            static_cast<std::uint64_t>(encoded.evacuation_revision)};
     }
     if (decoded->__isset.synced) {
         const auto &encoded = decoded->synced;
@@ -488,11 +548,13 @@
             answer.regionUsages = fromWire(encoded.region_usages);
         }
         answer.isDirectoryComplete = encoded.complete;
+        answer.evacuations = evacuationsFromWire(encoded);
         return answer;
     }
     if (decoded->__isset.notice) {
         return config_notice{{static_cast<base::config_version>(decoded->notice.version),
-                              std::move(decoded->notice.content)}};
+                              std::move(decoded->notice.content)},
+                             fromWire(decoded->notice.evacuations)};
     }
     if (decoded->__isset.usage_change) {
         return usage_update{fromWire(decoded->usage_change.usages), decoded->usage_change.from_hub};
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -35,6 +35,7 @@
         onStoreAnswer(from, *answer);
     }
     if (const auto *notice = std::get_if<config_notice>(&content)) {
+        learnEvacuations(notice->evacuations);
         applyDocument(notice->document);
     }
     if (const auto *pushed = std::get_if<usage_totals>(&content);
@@ -186,7 +187,10 @@
 auto reporter::onReportAnswer(const base::node_id &from, const report_answer &answer,
                               base::time_point now) -> messages
 {
-    // Whatever the answer is worth otherwise, its document is a committed one.
+    // Whatever the answer is worth otherwise, its evacuations and its document are committed.
+    if (answer.evacuations) {
+        learnEvacuations(*answer.evacuations);
+    }
     if (answer.document) {
         applyDocument(*answer.document);
     }
@@ -200,6 +204,7 @@
     m_isAwaitingAnswer = false;
     m_unansweredReports = 0;
     m_failedHubCount = 0;
+    m_evacuationRevisionOfHub = answer.evacuationRevision;
     applyAnswer(answer);
     m_callbacks.onTotals(answer.usageTotals, coverageShare(answer.coveredNodeCount));
     if (mustReportAgain && !m_usesDeputy) {
@@ -317,6 +322,14 @@
     }
 }
 
+auto reporter::learnEvacuations(const base::evacuation_list &evacuations) -> void
+{
+    if (evacuations.revision > m_evacuations.revision) {
+        m_evacuations = evacuations;
+        m_callbacks.onEvacuations(m_evacuations);
+    }
+}
+
 // Ignores versions that are not newer, so that an answer from a lagging hub does not roll back the
 // configuration.
 auto reporter::applyDocument(const config_document &document) -> void
@@ -349,6 +362,10 @@
         nodeReport.tellsDepartures = true;
     }
     nodeReport.sentAt = now;
+    nodeReport.evacuationRevision = m_evacuations.revision;
+    if (m_evacuations.revision > m_evacuationRevisionOfHub) {
+        nodeReport.evacuations = m_evacuations;
+    }
     return {toOutgoingMessage(m_hub, nodeReport)};
 }
 
@@ -434,6 +451,7 @@
     m_previouslyProbed.clear();
     m_isAwaitingAnswer = false;
     m_unansweredReports = 0;
+    m_evacuationRevisionOfHub = 0;
     // The record tells the previous hub that the node now reports elsewhere.
     m_self.reportsTo = hub;
     ++m_self.sequence;
@@ -456,6 +474,7 @@
             m_probeSentAt = now;
             report probe{m_self, {}, m_configVersion, {}, true};
             probe.sentAt = now;
+            probe.evacuationRevision = m_evacuations.revision;
             return {toOutgoingMessage(hub, probe)};
         }
     }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/crashrecord.h"
+#include "base/evacuation.h"
 #include "base/message.h"
 #include "base/time.h"
 #include "base/usage.h"
@@ -131,6 +132,10 @@
     bool tellsDepartures = false;
     //! Time of sending by the clock of the sender. The receiver only repeats it.
     base::time_point sentAt = {};
+    //! Revision of the evacuations that the sender knows.
+    std::uint64_t evacuationRevision = 0;
+    //! Set if the last answer of the receiver contained an older revision.
+    std::optional<base::evacuation_list> evacuations = std::nullopt;
 };
 
 struct report_answer
@@ -157,6 +162,10 @@
     base::time_point reportSentAt = {};
     //! Newest version that the hub has.
     base::config_version hubVersion = 0;
+    //! Revision of the evacuations that the hub knows.
+    std::uint64_t evacuationRevision = 0;
+    //! Set if this revision is higher than the reported one.
+    std::optional<base::evacuation_list> evacuations = std::nullopt;
 };
 
 //! Sent by a hub to each hub of its region and to one hub of each other region.
@@ -170,6 +179,8 @@
     base::usage_map localUsages;
     //! Number of these nodes.
     std::uint32_t localNodeCount = 0;
+    //! Revision of the evacuations that the sender knows.
+    std::uint64_t evacuationRevision = 0;
 };
 
 struct sync_answer
@@ -183,6 +194,8 @@
     std::uint32_t regionNodeCount = 0;
     //! True if the directory of the sender has been collected since its start.
     bool isDirectoryComplete = false;
+    //! Set if the sender knows newer evacuations than the receiver.
+    std::optional<base::evacuation_list> evacuations = std::nullopt;
 };
 
 //! Asks a hub to store the record of the sender, besides the hub in use.
@@ -198,10 +211,12 @@
     std::uint64_t sequence = 0;
 };
 
-//! Pushes a newly committed document to a node.
+//! Pushes newly committed content to a node.
 struct config_notice
 {
+    //! Version 0 stands for no document.
     config_document document;
+    base::evacuation_list evacuations = {};
 };
 
 //! Usage that changed since the sender's last message with usage, so that usage near a limit is
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -29,6 +29,9 @@
     std::function<void(membership::view_pointer view)> onView;
     //! Called for each configuration document with a higher version than any before it.
     std::function<void(config_document document)> onDocument;
+    //! Called for each list of evacuations with a higher revision than any before it; before
+    //! `onDocument`, if the same message has both.
+    std::function<void(const base::evacuation_list &evacuations)> onEvacuations;
     //! `coverage` is the share, from 0 to 1, of the live entry nodes whose usage is in the totals.
     std::function<void(const base::usage_map &totals, double coverage)> onTotals;
     //! Returns the current usage of each organisation at this node.
@@ -129,6 +132,14 @@
 
     //! Highest version that was passed to `onDocument`.
     [[nodiscard]] auto configVersion() const -> base::config_version { return m_configVersion; }
+    //! Takes over a list of evacuations that was committed. No effect if its revision isn't higher
+    //! than the known one.
+    auto learnEvacuations(const base::evacuation_list &evacuations) -> void;
+    [[nodiscard]] auto evacuations() const -> const base::evacuation_list &
+    {
+        return m_evacuations;
+    }
+
     [[nodiscard]] auto confirmation() const -> const version_confirmation &
     {
         return m_confirmation;
@@ -202,6 +213,9 @@
     std::size_t m_storeRequestRound = 0;
     base::config_version m_configVersion = 0;
     version_confirmation m_confirmation;
+    base::evacuation_list m_evacuations;
+    //! Revision of the evacuations in the last answer of `m_hub`.
+    std::uint64_t m_evacuationRevisionOfHub = 0;
     std::uint64_t m_viewVersion = 0;
 };
 
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -73,6 +73,7 @@
     std::unique_ptr<fleet::deputy> deputy;
     membership::view_pointer view = std::make_shared<const membership::view>();
     base::config_version version = 0;
+    base::evacuation_list evacuations;
     base::usage_map totals;
     double coverage = 1.0;
     base::usage_map usage;
@@ -120,6 +121,11 @@
         callbacks.onDocument = [&node](const fleet::config_document &document) {
             node.version = document.version;
         };
+        node.evacuations = {};
+        callbacks.onEvacuations = [&node](const base::evacuation_list &evacuations) {
+            CHECK_TEXT(evacuations.revision > node.evacuations.revision, "the list went back");
+            node.evacuations = evacuations;
+        };
         callbacks.onTotals = [&node](const base::usage_map &totals, double coverage) {
             node.totals = totals;
             node.coverage = coverage;
@@ -208,6 +214,13 @@
         m_network.send(nodeIdOf(hub), out);
     }
 
+    //! Tells a hub of committed evacuations, as its quorum member does.
+    auto commitEvacuations(int hub, const base::evacuation_list &evacuations) -> void
+    {
+        node(hub).reporter->learnEvacuations(evacuations);
+        m_network.send(nodeIdOf(hub), node(hub).hub->publishEvacuations(m_network.now()));
+    }
+
     //! Cuts a node off from all hubs, or joins it with them again.
     auto setCutFromHubs(int index, bool isCut) -> void
     {
@@ -1038,3 +1051,85 @@
         CHECK(stored.size() >= 8);
     }
 }
+
+// Guards against a list of evacuations that reaches only the nodes of the hub that committed it, or
+// that arrives later than with the next report.
+TEST(directory, pushesEvacuations)
+{
+    directory_fleet fleet(12, 4);
+    fleet.run(milliseconds(3000));
+    const base::evacuation_list list{3, {{base::failure_domain_id("d1"), 5}}};
+    for (int hub = 0; hub < 4; ++hub) {
+        fleet.commitEvacuations(hub, list);
+    }
+    fleet.run(milliseconds(10));
+    int pushed = 0;
+    for (int i = 0; i < 12; ++i) {
+        pushed += fleet.node(i).evacuations == list ? 1 : 0;
+    }
+    CHECK(pushed >= 10);
+    fleet.run(milliseconds(2000));
+    for (int i = 0; i < 12; ++i) {
+        CHECK(fleet.node(i).evacuations == list);
+    }
+}
+
+// Guards against nodes that keep an older list, or return to one, while hubs restart without
+// knowledge, nodes are cut off and only one hub learns what was committed. Once the faults are
+// over, all nodes know the newest list that a running node knew.
+TEST(directory, spreadsTheNewestEvacuationsUnderRandomFaults)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        directory_fleet fleet(12, 4);
+        base::random_source random(seed * 104'729);
+        std::uint64_t revision = 0;
+        std::uint64_t generation = 1;
+        for (int step = 0; step < 20; ++step) {
+            const int hub = static_cast<int>(random.below(4));
+            const int node = static_cast<int>(random.below(12));
+            switch (random.below(4)) {
+            case 0:
+                fleet.commitEvacuations(hub,
+                                        {++revision, {{base::failure_domain_id("d"), revision}}});
+                break;
+            case 1:
+                fleet.startNode(node, node < 4, ++generation);
+                break;
+            case 2:
+                fleet.setCutFromHubs(node, true);
+                break;
+            default:
+                fleet.setCutFromHubs(node, false);
+                break;
+            }
+            fleet.run(milliseconds(random.below(1500)));
+        }
+        fleet.setCutFromHubs(0, false);
+        std::uint64_t newest = 0;
+        for (int i = 0; i < 12; ++i) {
+            newest = std::max(newest, fleet.node(i).evacuations.revision);
+        }
+        fleet.run(milliseconds(15'000));
+        for (int i = 0; i < 12; ++i) {
+            const auto place = "seed " + std::to_string(seed) + ", node " + std::to_string(i);
+            CHECK_TEXT(fleet.node(i).evacuations.revision == newest, place.c_str());
+        }
+    }
+}
+
+// Guards against nodes that don't learn of evacuations while no hub can be reached: deputies pass
+// them on.
+TEST(directory, deputiesPassOnEvacuations)
+{
+    directory_fleet fleet(12, 3);
+    fleet.run(milliseconds(3000));
+    for (int hub = 0; hub < 3; ++hub) {
+        fleet.network().crash(nodeIdOf(hub));
+    }
+    fleet.run(milliseconds(1000));
+    fleet.node(5).reporter->learnEvacuations({7, {}});
+    fleet.run(milliseconds(12'000));
+    for (int i = 3; i < 12; ++i) {
+        CHECK_EQUAL(7U, fleet.node(i).evacuations.revision);
+    }
+}
