mesh: orders to evacuate a failure domain

An unknown domain and the last one with ready upstreams of a service are refused; the check is made on the list that the order is based on, so two orders at once can't empty a service. Each node logs what is in force and exports a gauge.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/meshcontrol.h"
 
+#include "app/internal/evacuationcheck.h"
 #include "base/compression.h"
 #include "base/log.h"
 #include "base/random.h"
@@ -46,6 +47,15 @@
     return text;
 }
 
+auto unavailableEvacuation(const quorum::group_answer &answer) -> evacuation_answer
+{
+    const auto *unavailable = std::get_if<quorum::group_unavailable>(&answer);
+    return {evacuation_outcome::Unavailable,
+            unavailable != nullptr
+                    ? unavailable->detail + "; repeat the order"
+                    : "the leader doesn't know evacuations; upgrade all nodes with a data folder"};
+}
+
 } // namespace
 
 mesh_control::mesh_control(boost::asio::io_context &context, const config::mesh_settings &settings,
@@ -59,7 +69,10 @@
       m_lateAnswers(metrics.counter("directory_late_answers_total",
                                     "Answers of hubs that came after the node had stopped to wait "
                                     "for them")),
-      m_bootId(base::systemSeed()),
+      m_evacuatedDomains(
+              metrics.gauge("evacuated_failure_domains",
+                            "Failure domains to which no request is sent by order of an operator")),
+      m_failureDomains(settings.failureDomains), m_bootId(base::systemSeed()),
       m_reporter(nodeRecord(settings), seedNodes(settings.seeds), reporterCallbacks()),
       m_deputy(m_bootId, m_reporter, m_callbacks.isNearLimit)
 {
@@ -104,7 +117,13 @@
 auto mesh_control::reporterCallbacks() -> fleet::reporter_callbacks
 {
     fleet::reporter_callbacks callbacks;
-    callbacks.onView = m_callbacks.onView;
+    callbacks.onView = [this](membership::view_pointer view) {
+        m_view = view;
+        m_callbacks.onView(std::move(view));
+    };
+    callbacks.onEvacuations = [this](const base::evacuation_list &evacuations) {
+        applyEvacuations(evacuations);
+    };
     callbacks.onTotals = m_callbacks.onTotals;
     callbacks.currentUsages = m_callbacks.currentUsages;
     callbacks.onTotalsNearLimit = m_callbacks.onTotalsNearLimit;
@@ -285,9 +304,17 @@
 
 auto mesh_control::onCommitted(const quorum::value_pointer &value) -> void
 {
-    if (value->version == 0) {
+    m_reporter.learnEvacuations(value->evacuations);
+    const auto revision = value->evacuations.revision;
+    const bool isOrder = revision != std::exchange(m_publishedRevision, revision)
+                         && value->version == m_publishedVersion;
+    if (isOrder) {
+        m_runtime.send(m_hub->publishEvacuations(base::clock::now()));
+    }
+    if (isOrder || value->version == 0) {
         return;
     }
+    m_publishedVersion = value->version;
     const fleet::config_document document{value->version, value->content};
     m_runtime.send(m_hub->publish(document, base::clock::now()));
     applyDocument(document);
@@ -315,6 +342,22 @@
             std::make_shared<const config::snapshot>(document.version, std::move(*configSet)));
 }
 
+auto mesh_control::applyEvacuations(const base::evacuation_list &evacuations) -> void
+{
+    m_evacuatedDomains.Set(static_cast<double>(evacuations.items.size()));
+    if (evacuations.items != m_loggedEvacuations) {
+        m_loggedEvacuations = evacuations.items;
+        std::string domains;
+        for (const auto &item : evacuations.items) {
+            domains += (domains.empty() ? "" : " ") + item.failureDomain.str() + "@"
+                       + std::to_string(item.since);
+        }
+        base::log(base::log_level::Info, "evacuations in force",
+                  {{"domains", domains}, {"revision", evacuations.revision}});
+    }
+    m_callbacks.onEvacuations(evacuations);
+}
+
 auto mesh_control::isConfigurationCurrent(base::time_point now) const -> bool
 {
     return m_appliedVersion > 0 && m_appliedVersion == m_reporter.configVersion()
@@ -384,6 +427,43 @@
     return m_quorum->change(std::move(configChange), QUORUM_TIMEOUT);
 }
 
+// An order that another one overtook was not applied; it is checked again and proposed anew.
+auto mesh_control::orderEvacuation(base::failure_domain_id failureDomain, bool starts)
+        -> boost::asio::awaitable<evacuation_answer>
+{
+    const auto deadline = base::clock::now() + QUORUM_TIMEOUT;
+    for (auto now = base::clock::now(); now < deadline; now = base::clock::now()) {
+        if (!m_knowsFormerUpstreams) {
+            co_return evacuation_answer{
+                    evacuation_outcome::Unavailable,
+                    "this node has just started and doesn't know all upstreams yet; repeat the "
+                    "order or send it to another node"};
+        }
+        auto current = co_await m_quorum->readEvacuations(deadline - now);
+        auto *evacuations = std::get_if<quorum::current_evacuations>(&current);
+        if (evacuations == nullptr) {
+            co_return unavailableEvacuation(current);
+        }
+        const auto revision = evacuations->list.revision;
+        const evacuation_check check{std::move(evacuations->list), m_view, m_failureDomains};
+        if (auto refusal = check.refusalOf(failureDomain, starts)) {
+            co_return std::move(*refusal);
+        }
+        const quorum::evacuation_order order{m_random.bits(), revision, failureDomain, starts,
+                                             base::wallClockMilliseconds()};
+        const auto answer = co_await m_quorum->order(order, deadline - base::clock::now());
+        if (std::holds_alternative<quorum::order_accepted>(answer)) {
+            co_return evacuation_answer{evacuation_outcome::Acknowledged, {}};
+        }
+        if (!std::holds_alternative<quorum::order_outdated>(answer)) {
+            co_return unavailableEvacuation(answer);
+        }
+    }
+    co_return evacuation_answer{
+            evacuation_outcome::Unavailable,
+            "other orders came first until the time was over; repeat the order"};
+}
+
 auto mesh_control::readConfiguration() -> boost::asio::awaitable<quorum::group_answer>
 {
     auto answer = co_await m_quorum->read(QUORUM_TIMEOUT);
--- a/src/app/internal/meshcontrol.h
+++ b/src/app/internal/meshcontrol.h
@@ -3,6 +3,7 @@
 #include "app/internal/controltraffic.h"
 #include "app/internal/departurestore.h"
 #include "app/meshadapter.h"
+#include "base/random.h"
 #include "config/meshsettings.h"
 #include "config/snapshot.h"
 #include "fleet/deputy.h"
@@ -14,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -26,6 +28,9 @@
 {
     std::function<void(config::snapshot_pointer snapshot)> onConfiguration;
     std::function<void(membership::view_pointer view)> onView;
+    //! Receives the evacuations in force after each change, before a configuration that was
+    //! committed later.
+    std::function<void(const base::evacuation_list &evacuations)> onEvacuations;
     //! `coverage` is the share of the nodes with caller requests whose demand is in the totals.
     std::function<void(const base::usage_map &totals, double coverage)> onTotals;
     //! As `onTotals`, for the organisations near their limit, between the other calls.
@@ -90,6 +95,11 @@
     //! Reads the committed configuration document. Precondition: `storesConfiguration()`.
     auto readConfiguration() -> boost::asio::awaitable<quorum::group_answer>;
 
+    //! Checks an order to start or end an evacuation, proposes it to the quorum group and waits for
+    //! the result. Precondition: `storesConfiguration()`.
+    auto orderEvacuation(base::failure_domain_id failureDomain, bool starts)
+            -> boost::asio::awaitable<evacuation_answer>;
+
     //! Returns true if the node has a data folder and so is a member of the quorum group.
     [[nodiscard]] auto storesConfiguration() const -> bool { return m_quorum.has_value(); }
 
@@ -114,6 +124,7 @@
     auto wakeStorageWaits() -> void;
     auto writeDepartures() -> void;
     auto applyDocument(const fleet::config_document &document) -> void;
+    auto applyEvacuations(const base::evacuation_list &evacuations) -> void;
     auto countSent(const base::outgoing_message &message) -> void;
 
     boost::asio::io_context &m_context;
@@ -129,6 +140,11 @@
     control_traffic m_traffic;
     prometheus::Counter &m_lateAnswers;
     base::time_point m_nextLateAnswerLogAt;
+    prometheus::Gauge &m_evacuatedDomains;
+    std::vector<base::evacuation> m_loggedEvacuations;
+    std::map<base::failure_domain_id, base::region_id> m_failureDomains;
+    membership::view_pointer m_view = std::make_shared<const membership::view>();
+    base::random_source m_random{base::systemSeed()};
     std::uint64_t m_bootId;
     fleet::reporter m_reporter;
     fleet::deputy m_deputy;
@@ -136,6 +152,9 @@
     std::optional<quorum::quorum_node> m_quorum;
     bool m_knowsFormerUpstreams = false;
     base::config_version m_appliedVersion = 0;
+    //! Version and evacuations of the last committed value that the hub has pushed.
+    base::config_version m_publishedVersion = 0;
+    std::uint64_t m_publishedRevision = 0;
     //! Timers of the calls of `awaitUpstreamsStored`; cancelled when a hub has stored the record.
     std::set<boost::asio::steady_timer *> m_storageWaits;
     // The last member, so that its thread ends before the other members are destroyed.
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -5,6 +5,7 @@
 #include "app/internal/meshcontrol.h"
 #include "app/internal/peeracceptor.h"
 #include "app/internal/upstreamhealth.h"
+#include "base/evacuation.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "caller/callerserver.h"
@@ -199,6 +200,9 @@
             onMembershipView(*view);
             m_membershipView.store(std::move(view));
         };
+        callbacks.onEvacuations = [this](const base::evacuation_list &evacuations) {
+            onEvacuations(evacuations);
+        };
         callbacks.onTotals = [this](const base::usage_map &totals, double coverage) {
             m_rateLimiter.onLiveTotals(totals, coverage, true, base::clock::now());
         };
@@ -228,6 +232,11 @@
         return callbacks;
     }
 
+    auto onEvacuations(const base::evacuation_list &evacuations) -> void
+    {
+        m_evacuations = evacuations;
+    }
+
     auto upstreamAddresses() -> crash_probe::address_function
     {
         return [this](const base::upstream_id &id) -> std::optional<membership::endpoint> {
@@ -585,6 +594,12 @@
             operations.readConfiguration = [this] {
                 return m_control.readConfiguration();
             };
+            operations.startEvacuation = [this](base::failure_domain_id failureDomain) {
+                return m_control.orderEvacuation(std::move(failureDomain), true);
+            };
+            operations.endEvacuation = [this](base::failure_domain_id failureDomain) {
+                return m_control.orderEvacuation(std::move(failureDomain), false);
+            };
         }
         return operations;
     }
@@ -666,6 +681,7 @@
     base::time_point m_stopTimeStart;
     config::snapshot_cell m_configuration;
     base::snapshot_cell<membership::view> m_membershipView;
+    base::evacuation_list m_evacuations;
     policy::placement m_placement;
     upstream_health m_upstreamHealth;
     policy::latency_model m_latencies;
--- a/src/app/meshadapter.h
+++ b/src/app/meshadapter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/ids.h"
 #include "config/meshsettings.h"
 #include "config/model.h"
 #include "quorum/configchange.h"
@@ -15,6 +16,25 @@
 
 namespace hawthornpick::app {
 
+enum class evacuation_outcome : std::uint8_t {
+    //! The order is committed.
+    Acknowledged,
+    UnknownDomain,
+    //! The domain is the last one with ready upstreams of a service.
+    LastDomain,
+    //! The order can't be acknowledged now; it may still be committed later.
+    Unavailable,
+};
+
+struct evacuation_answer
+{
+    evacuation_outcome outcome = evacuation_outcome::Unavailable;
+    //! What to do; empty for `Acknowledged`.
+    std::string detail;
+
+    auto operator<=>(const evacuation_answer &) const = default;
+};
+
 //! Operations of a mesh node that the servers of an adapter may call. Call them on the node's
 //! thread only.
 struct mesh_node_operations
@@ -34,6 +54,12 @@
             submitChange;
     //! Reads the committed configuration document. Empty on nodes that do not store it.
     std::function<boost::asio::awaitable<quorum::group_answer>()> readConfiguration;
+    //! Starts or ends the evacuation of a failure domain: no request is sent to its upstreams.
+    //! Repeats are acknowledged again. Empty on nodes that do not store the configuration.
+    std::function<boost::asio::awaitable<evacuation_answer>(base::failure_domain_id failureDomain)>
+            startEvacuation;
+    std::function<boost::asio::awaitable<evacuation_answer>(base::failure_domain_id failureDomain)>
+            endEvacuation;
     //! Returns true while the node accepts caller requests: it has a configuration and is not
     //! draining.
     std::function<bool()> isReady;
