Obey allowed regions, evacuations and cold rates in each choice

Cause: a route or organisation that names regions, an evacuated failure domain and a cold upstream changed nothing about where requests are sent. Change: a placement request carries its scope, which first attempts, retries, hedges, trials and the early check obey; the selector of declared fleets and the owner of a crash suspect obey it too, and the selector keeps some nodes of each failure domain of other regions for such requests. The scope follows the newest configuration, so a request that is placed again obeys a change. Without an upstream in scope the request is refused at once as no_allowed_region or upstream_evacuated. A cold upstream gets this node's share of its rate, more only if no other one has a free slot, and nothing just after it refused as cold. Records of an Idempotency-Key aren't bound to regions. Nothing changes without regions, evacuations and cold reports.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -5,6 +5,7 @@
 #include "app/internal/meshcontrol.h"
 #include "app/internal/peeracceptor.h"
 #include "app/internal/upstreamhealth.h"
+#include "base/evacuation.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "caller/callerserver.h"
@@ -391,11 +392,17 @@
     auto placementRequest(const caller::selection_request &request) const
             -> policy::placement_request
     {
-        return {request.service.id,        request.route,
-                request.idempotent,        request.bodyBytes,
-                request.excludedNodes,     request.targetTime,
-                request.deadline,          expectedLatency(request),
-                request.hasAttemptInFlight};
+        return {request.service.id,
+                request.route,
+                request.idempotent,
+                request.bodyBytes,
+                request.excludedNodes,
+                request.targetTime,
+                request.deadline,
+                expectedLatency(request),
+                request.hasAttemptInFlight,
+                request.scope(m_evacuations),
+                m_entryNodeCount};
     }
 
     // The load of other upstreams arrives with responses, that of the own one is always known: also
@@ -666,6 +673,8 @@
     base::time_point m_stopTimeStart;
     config::snapshot_cell m_configuration;
     base::snapshot_cell<membership::view> m_membershipView;
+    //! Evacuations in force.
+    base::evacuation_list m_evacuations;
     policy::placement m_placement;
     upstream_health m_upstreamHealth;
     policy::latency_model m_latencies;
--- a/src/app/internal/nodehooks.cpp
+++ b/src/app/internal/nodehooks.cpp
@@ -140,6 +140,10 @@
         return base::fail(base::error_kind::CrashSuspected,
                           "the only node that may run this crash suspect refused or failed it");
     }
+    if (const auto refusal = request.scope({}).refusalFor(owner->region, owner->failureDomain)) {
+        return base::fail(*refusal, "the only node that may run this crash suspect is out of the "
+                                    "allowed regions");
+    }
     return caller::chosen_node{owner->id, owner->incarnation, owner->peerAddress};
 }
 
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -4,10 +4,12 @@
 #include "base/errorkind.h"
 #include "config/model.h"
 #include "membership/view.h"
+#include "policy/placementscope.h"
 #include "upstream/exchange.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -39,6 +41,17 @@
     base::time_point deadline;
     //! Time until which a response meets the latency target of the route.
     base::time_point targetTime;
+    //! Route and organisation as in the newest configuration that has them, so that a request that
+    //! is placed again obeys a change; null if the request has none.
+    std::shared_ptr<const config::route> routeSettings = {};
+    std::shared_ptr<const config::organisation> organisationSettings = {};
+
+    //! Returns where the request may be executed. Thread safety: immutable.
+    [[nodiscard]] auto scope(const base::evacuation_list &evacuations) const
+            -> policy::placement_scope
+    {
+        return {routeSettings.get(), organisationSettings.get(), evacuations};
+    }
 };
 
 //! Node selected to execute an attempt.
@@ -203,7 +216,7 @@
     std::function<boost::asio::awaitable<admission>(base::organisation_id organisation)>
             takeRateToken;
     //! Chooses the node for the next attempt. Errors: `NoUpstream`, `UpstreamEjected`, `QueueFull`,
-    //! `RegionLinkBusy`.
+    //! `RegionLinkBusy`, `NoAllowedRegion`, `UpstreamEvacuated`.
     std::function<base::result<chosen_node>(const selection_request &request)> selectNode;
     //! Returns the error that `selectNode` would return now, without choosing a node.
     std::function<base::result<void>(const selection_request &request)> checkPlaceable;
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -35,6 +35,9 @@
     case error_kind::UpstreamSuspected:
     case error_kind::UpstreamTruncated:
     case error_kind::Overloaded:
+    case error_kind::UpstreamEvacuated:
+    case error_kind::NoAllowedRegion:
+    case error_kind::UpstreamCold:
         return true;
     default:
         return false;
@@ -55,6 +58,20 @@
            || kind == error_kind::Overloaded;
 }
 
+// Returns the item in the first snapshot, or else in the second one, or null.
+template <typename Item, typename Id>
+auto newestOf(const Item *(*find)(const config::config_set &, const Id &), const Id &id,
+              const config::snapshot_pointer &newest, const config::snapshot_pointer &previous)
+        -> std::shared_ptr<const Item>
+{
+    for (const auto &snapshot : {newest, previous}) {
+        if (const auto *item = find(snapshot->set(), id)) {
+            return {snapshot, item};
+        }
+    }
+    return nullptr;
+}
+
 } // namespace
 
 // If an earlier attempt may have run, the outcome is unknown even if the last attempt was refused
@@ -79,6 +96,7 @@
 
 auto request_handler::makeSelectionRequest() const -> selection_request
 {
+    const auto configuration = m_entryContext.configuration();
     return {*m_entryContext.fleet(),
             m_service,
             m_request.idempotent,
@@ -93,7 +111,9 @@
             m_request.requestId,
             m_arrival,
             m_request.deadline,
-            targetTime()};
+            targetTime(),
+            newestOf(config::findRoute, m_request.route, configuration, m_snapshot),
+            newestOf(config::findOrganisation, m_request.organisation, configuration, m_snapshot)};
 }
 
 auto request_handler::chooseNode() -> base::result<chosen_node>
--- a/src/caller/internal/wiring.cpp
+++ b/src/caller/internal/wiring.cpp
@@ -16,6 +16,7 @@
     request.expectedBytes = input.bodyBytes;
     request.excludedNodes = input.excludedNodes;
     request.organisation = input.organisation;
+    request.scope = input.scope({});
     const auto chosen = selector.choose(input.view, request, base::clock::now());
     if (!chosen) {
         return tl::unexpected(chosen.error());
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -1,8 +1,11 @@
 #include "policy/placement.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace hawthornpick::policy {
 
@@ -32,6 +35,8 @@
 //! Time for which an upstream that refused a request is penalised: about the service time of one
 //! request.
 constexpr base::milliseconds REFUSAL_PENALTY_TIME{60};
+//! Longest time for which an upstream that refused a request as cold isn't chosen.
+constexpr base::milliseconds MAX_COLD_REFUSAL_TIME{1000};
 
 auto isPathFailure(base::error_kind kind) -> bool
 {
@@ -44,6 +49,42 @@
     return std::find(excludedNodes.begin(), excludedNodes.end(), node) != excludedNodes.end();
 }
 
+// Reasons not to choose an upstream; a later one says more about the request's chances than an
+// earlier one if upstreams of the same service are left out for different reasons.
+constexpr std::array REFUSAL_ORDER{
+        base::error_kind::NoAllowedRegion, base::error_kind::UpstreamEvacuated,
+        base::error_kind::NoUpstream,      base::error_kind::UpstreamCold,
+        base::error_kind::PeerUnreachable, base::error_kind::Overloaded,
+};
+
+auto strongerRefusal(const std::optional<base::error_kind> &previous, base::error_kind kind)
+        -> base::error_kind
+{
+    const auto rankOf = [](base::error_kind item) {
+        return std::find(REFUSAL_ORDER.begin(), REFUSAL_ORDER.end(), item);
+    };
+    return previous && rankOf(*previous) > rankOf(kind) ? *previous : kind;
+}
+
+auto refusalDetail(base::error_kind kind) -> std::string_view
+{
+    switch (kind) {
+    case base::error_kind::Overloaded:
+        return "health of all upstreams of the service below the minimum";
+    case base::error_kind::PeerUnreachable:
+        return "all paths to upstreams of the service in backoff";
+    case base::error_kind::NoAllowedRegion:
+        return "all upstreams of the service are outside the regions that the route and the "
+               "organisation allow";
+    case base::error_kind::UpstreamEvacuated:
+        return "all upstreams of the service that may be used are in evacuated failure domains";
+    case base::error_kind::UpstreamCold:
+        return "all upstreams of the service that can be reached are cold and have no room";
+    default:
+        return "";
+    }
+}
+
 } // namespace
 
 placement::placement(placement_settings settings, std::uint64_t seed)
@@ -54,39 +95,73 @@
                          base::time_point now) -> base::result<membership::upstream_place>
 {
     std::optional<membership::upstream_place> best;
+    std::optional<membership::upstream_place> bestCold;
     double bestScore = 0.0;
-    bool hasPathInBackoff = false;
-    bool hasLowHealth = false;
+    double bestColdScore = 0.0;
+    bool hasRoom = false;
+    std::optional<base::error_kind> refusal;
     for (const auto &place : view.upstreamsOf(request.service)) {
-        if (place.upstream->state != membership::upstream_state::Ready
-            || isExcluded(request, place.node->id)) {
+        if (place.upstream->state != membership::upstream_state::Ready) {
             continue;
         }
-        if (isPathInBackoff(place.node->id, now)) {
-            hasPathInBackoff = true;
+        if (const auto kind = refusalFor(place, request, now)) {
+            refusal = strongerRefusal(refusal, *kind);
             continue;
         }
         const auto &state = stateOf(place.node->id, request.service);
-        if (!request.idempotent && estimatedHealth(state, now) < MIN_NON_IDEMPOTENT_HEALTH) {
-            hasLowHealth = true;
+        const auto score = scoreOf(place, state, request, now) + SCORE_NOISE * m_random.unit();
+        if (score <= EXCLUDED_SCORE / 2) {
+            refusal = strongerRefusal(refusal, base::error_kind::NoUpstream);
             continue;
         }
-        const auto score = scoreOf(place, state, request, now) + SCORE_NOISE * m_random.unit();
-        if (score > EXCLUDED_SCORE / 2 && (!best || score > bestScore)) {
-            best = place;
-            bestScore = score;
+        const bool isLimited =
+                coldStateOf(state, request.entryNodeCount, now) == cold_state::BeyondShare;
+        auto &bestOfKind = isLimited ? bestCold : best;
+        auto &scoreOfKind = isLimited ? bestColdScore : bestScore;
+        if (!bestOfKind || score > scoreOfKind) {
+            bestOfKind = place;
+            scoreOfKind = score;
         }
+        hasRoom = hasRoom || (!isLimited && hasFreeSlot(state, place.upstream->slots, now));
     }
-    if (!best && hasLowHealth) {
-        return base::fail(base::error_kind::Overloaded,
-                          "health of all upstreams of the service below the minimum");
+    const bool usesCold =
+            bestCold && !hasRoom && !request.needsFreeSlot && (!best || bestColdScore > bestScore);
+    if (usesCold) {
+        return *bestCold;
     }
-    if (!best) {
-        return base::fail(
-                hasPathInBackoff ? base::error_kind::PeerUnreachable : base::error_kind::NoUpstream,
-                hasPathInBackoff ? "all paths to upstreams of the service in backoff" : "");
+    if (best) {
+        return *best;
     }
-    return *best;
+    if (bestCold) {
+        refusal = strongerRefusal(refusal, base::error_kind::UpstreamCold);
+    }
+    const auto kind = refusal.value_or(base::error_kind::NoUpstream);
+    return base::fail(kind, std::string(refusalDetail(kind)));
+}
+
+// Returns why a ready upstream can't be chosen, or nothing if it can.
+auto placement::refusalFor(const membership::upstream_place &place,
+                           const placement_request &request, base::time_point now) const
+        -> std::optional<base::error_kind>
+{
+    const auto &node = *place.node;
+    if (const auto kind = request.scope.refusalFor(node.region, node.failureDomain)) {
+        return kind;
+    }
+    if (isExcluded(request, node.id)) {
+        return base::error_kind::NoUpstream;
+    }
+    if (isPathInBackoff(node.id, now)) {
+        return base::error_kind::PeerUnreachable;
+    }
+    const auto &state = stateOf(node.id, request.service);
+    if (!request.idempotent && estimatedHealth(state, now) < MIN_NON_IDEMPOTENT_HEALTH) {
+        return base::error_kind::Overloaded;
+    }
+    if (coldStateOf(state, request.entryNodeCount, now) == cold_state::Refusing) {
+        return base::error_kind::UpstreamCold;
+    }
+    return std::nullopt;
 }
 
 auto placement::checkPlaceable(const membership::view &view, const placement_request &request,
@@ -112,6 +187,7 @@
     const auto usableSlots = estimatedUsableSlots(state, best->upstream->slots, now);
     const auto wait = expectedWait(state, usableSlots, estimatedBusySlots(state, usableSlots, now));
     const auto health = estimatedHealth(state, now);
+    takeColdToken(state, request.entryNodeCount, now);
     countInFlight(node, request.service);
     return placed_request{&node, health, wait};
 }
@@ -140,11 +216,16 @@
 {
     std::vector<const membership::node_entry *> candidates;
     for (const auto &place : view.upstreamsOf(request.service)) {
+        const auto &node = *place.node;
         if (place.upstream->state != membership::upstream_state::Ready
-            || isPathInBackoff(place.node->id, now)) {
+            || isPathInBackoff(node.id, now)
+            || request.scope.refusalFor(node.region, node.failureDomain)) {
+            continue;
+        }
+        const auto &state = stateOf(node.id, request.service);
+        if (coldStateOf(state, request.entryNodeCount, now) >= cold_state::BeyondShare) {
             continue;
         }
-        const auto &state = stateOf(place.node->id, request.service);
         if (reportWeight(state, now) <= 0.0 || state.load.health < TRIAL_HEALTH_LIMIT) {
             candidates.push_back(place.node);
         }
@@ -173,6 +254,7 @@
     if (isExcluded(request, node->id)) {
         return nullptr;
     }
+    takeColdToken(m_nodeServiceStates[{node->id, request.service}], request.entryNodeCount, now);
     countInFlight(*node, request.service);
     return node;
 }
@@ -219,6 +301,13 @@
     return health * acceptance * (onTimeProbability + FREE_SLOT_WEIGHT * freeShare);
 }
 
+auto placement::hasFreeSlot(const node_service_state &state, std::uint32_t slots,
+                            base::time_point now) const -> bool
+{
+    const auto usableSlots = estimatedUsableSlots(state, slots, now);
+    return estimatedBusySlots(state, usableSlots, now) < usableSlots;
+}
+
 auto placement::expectedWait(const node_service_state &state, std::uint32_t usableSlots,
                              double busySlots) const -> base::duration
 {
@@ -275,6 +364,42 @@
                                                : m_settings.regionCostPerByte);
 }
 
+auto placement::coldStateOf(const node_service_state &state, std::size_t entryNodeCount,
+                            base::time_point now) const -> cold_state
+{
+    if (state.coldRefusedUntil > now) {
+        return cold_state::Refusing;
+    }
+    if (state.load.coldRate < 0.0 || reportWeight(state, now) <= 0.0) {
+        return cold_state::Warm;
+    }
+    return coldTokens(state, entryNodeCount, now) >= 1.0 ? cold_state::WithinShare
+                                                         : cold_state::BeyondShare;
+}
+
+// The share is not smaller than what trial requests need.
+auto placement::coldTokens(const node_service_state &state, std::size_t entryNodeCount,
+                           base::time_point now) const -> double
+{
+    if (state.load.coldRate <= 0.0) {
+        return 0.0;
+    }
+    const double tokensPerSecond = std::max(state.load.coldRate, TRIALS_PER_SECOND)
+                                   / static_cast<double>(std::max<std::size_t>(1, entryNodeCount));
+    return std::min(1.0,
+                    state.coldTokens + tokensPerSecond * base::toSeconds(now - state.coldTokensAt));
+}
+
+auto placement::takeColdToken(node_service_state &state, std::size_t entryNodeCount,
+                              base::time_point now) -> void
+{
+    if (state.load.coldRate < 0.0) {
+        return;
+    }
+    state.coldTokens = std::max(0.0, coldTokens(state, entryNodeCount, now) - 1.0);
+    state.coldTokensAt = now;
+}
+
 auto placement::isPathInBackoff(const base::node_id &node, base::time_point now) const -> bool
 {
     const auto path = m_paths.find(node);
@@ -292,6 +417,13 @@
     } else {
         state.sentSinceReport -= std::min(state.sentSinceReport, 1U);
     }
+    if (failure == base::error_kind::UpstreamCold) {
+        const auto interval =
+                state.load.coldRate > 0.0 ? std::chrono::duration_cast<base::duration>(
+                        std::chrono::duration<double>(1.0 / state.load.coldRate))
+                                          : base::duration(MAX_COLD_REFUSAL_TIME);
+        state.coldRefusedUntil = now + std::min<base::duration>(interval, MAX_COLD_REFUSAL_TIME);
+    }
     if (failure && isPathFailure(*failure)) {
         auto &path = m_paths[node];
         const auto shift = std::min(path.consecutiveFailures, 3U);
@@ -311,6 +443,14 @@
                        const service_load &load, base::time_point now) -> void
 {
     auto &state = m_nodeServiceStates[{node, service}];
+    if (load.coldRate >= 0.0 && state.load.coldRate < 0.0) {
+        // The first requests of all nodes are spread over the time in which each may send one.
+        state.coldTokens = m_random.unit();
+        state.coldTokensAt = now;
+    }
+    if (load.coldRate < 0.0) {
+        state.coldRefusedUntil = {};
+    }
     state.load = load;
     state.reportedAt = now;
     state.sentSinceReport = 0;
--- a/src/policy/internal/selector.cpp
+++ b/src/policy/internal/selector.cpp
@@ -27,6 +27,7 @@
     case base::error_kind::IncarnationChanged:
     case base::error_kind::ShuttingDown:
     case base::error_kind::ConfigNotCurrent:
+    case base::error_kind::UpstreamEvacuated:
         return UNAVAILABLE_BACKOFF;
     case base::error_kind::PeerUnreachable:
         return PATH_BACKOFF;
@@ -50,6 +51,9 @@
     auto &state = stateOf(request.service);
     const std::lock_guard lock(state.mutex);
     state.updateFromView(view, m_settings, request, now);
+    if (const auto refusal = state.scopeRefusal(request)) {
+        return base::fail(*refusal);
+    }
     const auto selectCandidate = [&](candidate *item, bool isOtherRegion,
                                      bool isProbe) -> base::result<selection> {
         const auto *node = view.find(item->node);
@@ -68,11 +72,12 @@
     if (ownNode != nullptr) {
         return selectCandidate(ownNode, false, false);
     }
-    auto *ownRegionCandidate = state.pickBetterOfTwo(state.ownRegion, request, now);
+    auto *ownRegionCandidate = state.pickBetterOfTwo({&state.ownRegion}, request, now);
     if (ownRegionCandidate != nullptr && !state.isOwnRegionOverloaded(request, now)) {
         return selectCandidate(ownRegionCandidate, false, false);
     }
-    auto *otherRegionCandidate = state.pickBetterOfTwo(state.otherRegions, request, now);
+    auto *otherRegionCandidate =
+            state.pickBetterOfTwo(state.otherRegionPools(request), request, now);
     const double meanSeconds = state.meanServiceSeconds();
     const bool isOtherRegionBetter =
             otherRegionCandidate != nullptr
@@ -87,7 +92,7 @@
         return selectCandidate(ownRegionCandidate, false, false);
     }
     return base::fail(otherRegionCandidate != nullptr ? base::error_kind::RegionLinkBusy
-                                                      : state.unavailabilityError());
+                                                      : state.unavailabilityError(request));
 }
 
 auto selector::onAnswer(const base::service_id &service, const base::node_id &node,
--- a/src/policy/internal/selectorstate.cpp
+++ b/src/policy/internal/selectorstate.cpp
@@ -92,7 +92,7 @@
 auto selector::candidate::accepts(const selection_request &request, base::time_point now) -> bool
 {
     return backoffUntil <= now && queueFullUntilFor(request.organisation) <= now
-           && !isExcluded(request, node);
+           && !isExcluded(request, node) && !request.scope.refusalFor(region, failureDomain);
 }
 
 auto selector::candidate::effectiveSlots(base::duration warmUp, base::time_point now) const
@@ -133,7 +133,7 @@
         return;
     }
     std::map<base::node_id, candidate> previousCandidates;
-    for (auto *pool : {&ownRegion, &otherRegions}) {
+    for (auto *pool : {&ownRegion, &otherRegions, &scopedCandidates}) {
         for (auto &item : *pool) {
             previousCandidates.emplace(item.node, std::move(item));
         }
@@ -141,31 +141,45 @@
     }
     upstreams_by_node ownRegionUpstreams;
     upstreams_by_node otherRegionUpstreams;
+    std::map<base::failure_domain_id, upstreams_by_node> otherUpstreamsByDomain;
     for (const auto &place : view.upstreamsOf(request.service)) {
         auto &upstreamsByNode =
                 place.node->region == settings.region ? ownRegionUpstreams : otherRegionUpstreams;
         upstreamsByNode[place.node->id].push_back(place.upstream);
+        const bool isReady = place.upstream->state == membership::upstream_state::Ready;
+        if (place.node->region != settings.region && isReady) {
+            otherUpstreamsByDomain[place.node->failureDomain][place.node->id].push_back(
+                    place.upstream);
+        }
     }
     // Upstreams in the first view need no warm-up: the entry node has just started, not they.
     const auto newReadySince = viewVersion ? now : base::time_point{};
     const auto subject = settings.self.str() + "/" + request.service.str();
-    for (auto *pool : {&ownRegion, &otherRegions}) {
-        const auto &upstreamsByNode =
-                pool == &ownRegion ? ownRegionUpstreams : otherRegionUpstreams;
-        const auto maxNodes =
-                pool == &ownRegion ? settings.maxOwnRegionNodes : settings.maxOtherRegionNodes;
+    const auto fillPool = [&](std::vector<candidate> &pool,
+                              const upstreams_by_node &upstreamsByNode, std::size_t maxNodes) {
         for (const auto &node : chooseSubset(upstreamsByNode, subject, settings.self, maxNodes)) {
-            auto &item = pool->emplace_back(std::move(previousCandidates[node]));
+            if (find(node) != nullptr) {
+                continue;
+            }
+            auto &item = pool.emplace_back(std::move(previousCandidates[node]));
+            const auto *entry = view.find(node);
             item.node = node;
+            item.region = entry->region;
+            item.failureDomain = entry->failureDomain;
             item.update(upstreamsByNode.at(node), newReadySince);
         }
+    };
+    fillPool(ownRegion, ownRegionUpstreams, settings.maxOwnRegionNodes);
+    fillPool(otherRegions, otherRegionUpstreams, settings.maxOtherRegionNodes);
+    for (const auto &[domain, upstreamsByNode] : otherUpstreamsByDomain) {
+        fillPool(scopedCandidates, upstreamsByNode, settings.maxOtherRegionNodes);
     }
     viewVersion = view.version();
 }
 
 auto selector::service_state::find(const base::node_id &node) -> candidate *
 {
-    for (auto *pool : {&ownRegion, &otherRegions}) {
+    for (auto *pool : {&ownRegion, &otherRegions, &scopedCandidates}) {
         for (auto &item : *pool) {
             if (item.node == node) {
                 return &item;
@@ -175,6 +189,34 @@
     return nullptr;
 }
 
+auto selector::service_state::scopeRefusal(const selection_request &request) const
+        -> std::optional<base::error_kind>
+{
+    std::optional<base::error_kind> refusal;
+    for (const auto *pool : {&ownRegion, &otherRegions, &scopedCandidates}) {
+        for (const auto &item : *pool) {
+            if (item.readyUpstreams.empty() && item.ejectedSlots == 0) {
+                continue;
+            }
+            const auto kind = request.scope.refusalFor(item.region, item.failureDomain);
+            if (!kind) {
+                return std::nullopt;
+            }
+            refusal = refusal == base::error_kind::UpstreamEvacuated ? refusal : kind;
+        }
+    }
+    return refusal;
+}
+
+auto selector::service_state::otherRegionPools(const selection_request &request)
+        -> std::vector<std::vector<candidate> *>
+{
+    if (request.scope == placement_scope()) {
+        return {&otherRegions};
+    }
+    return {&otherRegions, &scopedCandidates};
+}
+
 auto selector::service_state::isOwnRegionOverloaded(const selection_request &request,
                                                     base::time_point now) const -> bool
 {
@@ -187,14 +229,16 @@
     return estimatedRequests >= slots * OVERLOAD_FACTOR;
 }
 
-auto selector::service_state::pickBetterOfTwo(std::vector<candidate> &pool,
+auto selector::service_state::pickBetterOfTwo(const std::vector<std::vector<candidate> *> &pools,
                                               const selection_request &request,
                                               base::time_point now) -> candidate *
 {
     std::vector<candidate *> candidates;
-    for (auto &item : pool) {
-        if (!item.readyUpstreams.empty() && item.accepts(request, now)) {
-            candidates.push_back(&item);
+    for (auto *pool : pools) {
+        for (auto &item : *pool) {
+            if (!item.readyUpstreams.empty() && item.accepts(request, now)) {
+                candidates.push_back(&item);
+            }
         }
     }
     if (candidates.empty()) {
@@ -240,12 +284,16 @@
                                      : ejectedCandidates[random.below(ejectedCandidates.size())];
 }
 
-auto selector::service_state::unavailabilityError() const -> base::error_kind
+auto selector::service_state::unavailabilityError(const selection_request &request) const
+        -> base::error_kind
 {
     bool hasReady = false;
     bool hasEjected = false;
-    for (const auto *pool : {&ownRegion, &otherRegions}) {
+    for (const auto *pool : {&ownRegion, &otherRegions, &scopedCandidates}) {
         for (const auto &item : *pool) {
+            if (request.scope.refusalFor(item.region, item.failureDomain)) {
+                continue;
+            }
             hasReady = hasReady || !item.readyUpstreams.empty();
             hasEjected = hasEjected || item.ejectedSlots > 0;
         }
--- a/src/policy/internal/selectorstate.h
+++ b/src/policy/internal/selectorstate.h
@@ -20,6 +20,8 @@
 struct selector::candidate
 {
     base::node_id node;
+    base::region_id region;
+    base::failure_domain_id failureDomain;
     std::vector<ready_upstream> readyUpstreams;
     std::uint32_t ejectedSlots = 0;
     service_load load;
@@ -63,19 +65,29 @@
     std::optional<std::uint64_t> viewVersion;
     std::vector<candidate> ownRegion;
     std::vector<candidate> otherRegions;
+    //! Further nodes of other regions, for requests that may not be executed everywhere.
+    std::vector<candidate> scopedCandidates;
 
     auto updateFromView(const membership::view &view, const selector_settings &settings,
                         const selection_request &request, base::time_point now) -> void;
     auto find(const base::node_id &node) -> candidate *;
+    //! Returns why no candidate is in the scope of the request, or nothing if one is or if there is
+    //! none.
+    [[nodiscard]] auto scopeRefusal(const selection_request &request) const
+            -> std::optional<base::error_kind>;
+    //! Returns the candidates of other regions that a request may use.
+    auto otherRegionPools(const selection_request &request)
+            -> std::vector<std::vector<candidate> *>;
     [[nodiscard]] auto isOwnRegionOverloaded(const selection_request &request,
                                              base::time_point now) const -> bool;
-    auto pickBetterOfTwo(std::vector<candidate> &pool, const selection_request &request,
-                         base::time_point now) -> candidate *;
+    auto pickBetterOfTwo(const std::vector<std::vector<candidate> *> &pools,
+                         const selection_request &request, base::time_point now) -> candidate *;
     auto pickOwnNode(const base::node_id &self, const selection_request &request,
                      base::time_point now) -> candidate *;
     auto pickProbe(const selection_request &request, double share, base::time_point now)
             -> candidate *;
-    [[nodiscard]] auto unavailabilityError() const -> base::error_kind;
+    [[nodiscard]] auto unavailabilityError(const selection_request &request) const
+            -> base::error_kind;
     [[nodiscard]] auto meanServiceSeconds() const -> double;
 };
 
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "membership/view.h"
+#include "policy/placementscope.h"
 #include "policy/slots.h"
 
 #include <map>
@@ -37,6 +38,10 @@
     base::duration expectedServiceTime{};
     //! True if only upstreams with a free slot are eligible.
     bool needsFreeSlot = false;
+    //! Places where the request may be executed.
+    placement_scope scope = {};
+    //! Number of nodes that callers are connected to; they share the rate of a cold upstream.
+    std::size_t entryNodeCount = 1;
 };
 
 //! The node chosen for a request.
@@ -56,6 +61,11 @@
 //! Each upstream is scored by the probability of a response in time, derived from the load and
 //! health that its node reported, the age of the report, the requests of this node in flight there
 //! and the state of the path, less the cost of the transferred bytes.
+//!
+//! A cold upstream, which may be given few requests a second by all nodes together, competes only
+//! while this node hasn't used its share of that rate. Beyond it, the upstream is chosen only if no
+//! other one has a free slot and it hasn't refused a request as cold just before. Load pattern: the
+//! work of a failure domain returns to upstreams that have all just started.
 //! Thread safety of all members: one thread.
 class placement
 {
@@ -83,8 +93,10 @@
     placement(placement_settings settings, std::uint64_t seed);
 
     //! Chooses an upstream and counts the request as in flight there.
-    //! Errors: `NoUpstream`; `PeerUnreachable` if every remaining upstream is behind a path in
-    //! backoff; `Overloaded` if the remaining upstreams are below `MIN_NON_IDEMPOTENT_HEALTH`.
+    //! Errors: `NoAllowedRegion` or `UpstreamEvacuated` if there are upstreams, but none in the
+    //! scope of the request; `NoUpstream`; `UpstreamCold` if each remaining upstream has refused a
+    //! request as cold just before; `PeerUnreachable` if every remaining upstream is behind a path
+    //! in backoff; `Overloaded` if the remaining upstreams are below `MIN_NON_IDEMPOTENT_HEALTH`.
     auto choose(const membership::view &view, const placement_request &request,
                 base::time_point now) -> base::result<placed_request>;
 
@@ -97,7 +109,8 @@
     //! upstream, or null. Candidates are upstreams that stopped responding or have no recent
     //! report; a trial request shows whether they respond again. Together the `entryNodeCount`
     //! entry nodes send each candidate a trial request about every second or two, using idempotent
-    //! requests with short responses only.
+    //! requests with short responses only. Cold upstreams get them within this node's
+    //! share only.
     //! Precondition: `choose` was called for the request.
     auto chooseTrial(const membership::view &view, const placement_request &request,
                      std::size_t entryNodeCount, base::time_point now)
@@ -125,6 +138,17 @@
         std::uint32_t inFlight = 0;
         std::uint32_t sentSinceReport = 0;
         base::time_point penalisedUntil{};
+        //! Requests that this node's share of the rate of the cold upstream admits, at most 1.
+        double coldTokens = 0.0;
+        base::time_point coldTokensAt{};
+        base::time_point coldRefusedUntil{};
+    };
+    //! Whether the coldness of an upstream limits what may be sent there.
+    enum class cold_state : std::uint8_t {
+        Warm,
+        WithinShare,
+        BeyondShare,
+        Refusing,
     };
     struct path_state
     {
@@ -141,6 +165,9 @@
 
     auto findBest(const membership::view &view, const placement_request &request,
                   base::time_point now) -> base::result<membership::upstream_place>;
+    [[nodiscard]] auto refusalFor(const membership::upstream_place &place,
+                                  const placement_request &request, base::time_point now) const
+            -> std::optional<base::error_kind>;
     auto countInFlight(const membership::node_entry &node, const base::service_id &service) -> void;
     auto requestsPerSecond(const base::service_id &service, base::time_point now) -> double;
     [[nodiscard]] auto trialCandidates(const membership::view &view,
@@ -152,6 +179,8 @@
     [[nodiscard]] auto scoreOf(const membership::upstream_place &place,
                                const node_service_state &state, const placement_request &request,
                                base::time_point now) const -> double;
+    [[nodiscard]] auto hasFreeSlot(const node_service_state &state, std::uint32_t slots,
+                                   base::time_point now) const -> bool;
     [[nodiscard]] auto expectedWait(const node_service_state &state, std::uint32_t usableSlots,
                                     double busySlots) const -> base::duration;
     [[nodiscard]] auto expectedBenefit(const node_service_state &state, std::uint32_t slots,
@@ -168,6 +197,12 @@
             -> double;
     [[nodiscard]] auto transferCost(const membership::node_entry &node,
                                     const placement_request &request) const -> double;
+    [[nodiscard]] auto coldStateOf(const node_service_state &state, std::size_t entryNodeCount,
+                                   base::time_point now) const -> cold_state;
+    [[nodiscard]] auto coldTokens(const node_service_state &state, std::size_t entryNodeCount,
+                                  base::time_point now) const -> double;
+    auto takeColdToken(node_service_state &state, std::size_t entryNodeCount, base::time_point now)
+            -> void;
     [[nodiscard]] auto isPathInBackoff(const base::node_id &node, base::time_point now) const
             -> bool;
 
--- a/src/policy/selector.h
+++ b/src/policy/selector.h
@@ -5,6 +5,7 @@
 #include "base/random.h"
 #include "base/time.h"
 #include "membership/view.h"
+#include "policy/placementscope.h"
 #include "policy/slots.h"
 
 #include <compare>
@@ -52,6 +53,8 @@
     std::uint64_t expectedBytes = 0;
     //! Nodes that have already refused or failed this request.
     std::span<const base::node_id> excludedNodes;
+    //! Places where the request may be executed.
+    placement_scope scope = {};
 };
 
 //! The node chosen for a request. The pointer is owned by the view passed to `choose`.
@@ -84,7 +87,8 @@
     //! Chooses a node and counts the request as in flight there until `onAnswer` or `onRefusal`.
     //! Errors: `NoUpstream`, `UpstreamEjected` (all are ejected or draining), `QueueFull` (all are
     //! full or excluded), `RegionLinkBusy` (only another region has a candidate and the byte budget
-    //! is used up). All mean that the request was not started.
+    //! is used up), `NoAllowedRegion` or `UpstreamEvacuated` (none is in the scope of the request).
+    //! All mean that the request was not started.
     auto choose(const membership::view &view, const selection_request &request,
                 base::time_point now) -> base::result<selection>;
 
--- a/src/policy/tests/placementtest.cpp
+++ b/src/policy/tests/placementtest.cpp
@@ -178,3 +178,56 @@
     }
     CHECK_TEXT(trials >= 2 && trials <= 20, std::to_string(trials).c_str());
 }
+
+// Guards against a wave of requests to upstreams that have just started: the work of a failure
+// domain returns, and each node sends a cold upstream its share of the cold rate only while warm
+// ones have room.
+TEST(placement, sendsColdUpstreamsTheirShareWhileOthersHaveRoom)
+{
+    constexpr int ENTRY_NODES = 10;
+    constexpr double COLD_RATE = 5.0;
+    constexpr int SECONDS = 40;
+    auto item = request(true);
+    item.entryNodeCount = ENTRY_NODES;
+    int coldCount = 0;
+    for (int step = 0; step < SECONDS * 50; ++step) {
+        m_now += milliseconds(20);
+        item.target = m_now + milliseconds(800);
+        item.deadline = m_now + milliseconds(2000);
+        for (int node : {0, 3}) {
+            report(node, 4, 0.9);
+        }
+        for (int node : {1, 2}) {
+            auto cold = loadOf(0, 0.97);
+            cold.coldRate = COLD_RATE;
+            m_placement.onLoad(nodeOf(node), SERVICE, cold, m_now);
+        }
+        const auto placed = m_placement.choose(m_view, item, m_now);
+        CHECK(placed.has_value());
+        const auto id = placed->node->id;
+        coldCount += id == nodeOf(1) || id == nodeOf(2) ? 1 : 0;
+        m_placement.onAttemptEnd(id, SERVICE, base::error_kind::CallerGone, {}, m_now);
+    }
+    const double share = 2.0 * COLD_RATE / ENTRY_NODES * SECONDS;
+    CHECK_TEXT(coldCount > share / 2 && coldCount <= share + 2, std::to_string(coldCount).c_str());
+}
+
+// Guards against requests that are refused here although a cold upstream would take them, and
+// against further ones to an upstream that has just refused one as cold.
+TEST(placement, usesColdUpstreamsBeyondTheShareOnlyAsLastResort)
+{
+    auto item = request(true);
+    item.entryNodeCount = 1000;
+    for (int node = 0; node < 4; ++node) {
+        auto load = loadOf(node == 1 ? 0 : 5, 0.97);
+        load.coldRate = node == 1 ? 2.0 : -1.0;
+        m_placement.onLoad(nodeOf(node), SERVICE, load, m_now);
+    }
+    STRCMP_EQUAL("n1", m_placement.choose(m_view, item, m_now)->node->id.str().c_str());
+    m_placement.onAttemptEnd(nodeOf(1), SERVICE, base::error_kind::UpstreamCold, {}, m_now);
+    CHECK(m_placement.choose(m_view, item, m_now)->node->id != nodeOf(1));
+    item.excludedNodes = {nodeOf(0), nodeOf(2), nodeOf(3)};
+    CHECK(m_placement.choose(m_view, item, m_now).error().kind == base::error_kind::UpstreamCold);
+    m_now += milliseconds(500);
+    CHECK(m_placement.choose(m_view, item, m_now).has_value());
+}
