Read allowed regions from declarative files

Cause: only documents of the platform could bind a route or an organisation to regions. Change: key `regions`, names separated by commas, in [organisation NAME] and [route NAME]; malformed and repeated names are errors. The list of allowed keys in an existing test contains the new key.

--- a/src/config/internal/declaration.cpp
+++ b/src/config/internal/declaration.cpp
@@ -148,6 +148,7 @@
         item.weight = static_cast<std::uint32_t>(reader.wholeNumber("weight", 1, 1, 100));
         item.priority =
                 static_cast<std::uint32_t>(reader.wholeNumber("priority", 0, 0, MAX_PRIORITY));
+        item.allowedRegions = readRegions(reader);
         return item;
     }
 
@@ -217,9 +218,48 @@
         item.priority =
                 static_cast<std::uint32_t>(reader.wholeNumber("priority", 0, 0, MAX_PRIORITY));
         item.maxAttempts = static_cast<std::uint32_t>(reader.wholeNumber("max_attempts", 0, 0, 10));
+        item.allowedRegions = readRegions(reader);
         return item;
     }
 
+    // Names separated by commas.
+    static auto readRegions(section_reader &reader) -> std::vector<base::region_id>
+    {
+        const auto text = reader.text("regions");
+        if (!text) {
+            return {};
+        }
+        std::vector<base::region_id> regions;
+        for (std::size_t begin = 0; begin <= text->size();) {
+            const auto end = std::min(text->find(',', begin), text->size());
+            const auto name = withoutOuterSpaces(text->substr(begin, end - begin));
+            begin = end + 1;
+            if (!isName(name)) {
+                reader.reject("regions",
+                              "`" + name
+                                      + "` is not a region name; region names of 1 to 64 letters, "
+                                        "digits, '-', '_' and '.' are required, separated by "
+                                        "commas");
+                return {};
+            }
+            regions.emplace_back(name);
+        }
+        std::sort(regions.begin(), regions.end());
+        const auto repeated = std::adjacent_find(regions.begin(), regions.end());
+        if (repeated != regions.end()) {
+            reader.reject("regions", "region `" + repeated->str()
+                                             + "` is repeated; each region may be named only once");
+        }
+        return regions;
+    }
+
+    static auto withoutOuterSpaces(const std::string &text) -> std::string
+    {
+        const auto first = text.find_first_not_of(" \t");
+        const auto last = text.find_last_not_of(" \t");
+        return first == std::string::npos ? std::string() : text.substr(first, last - first + 1);
+    }
+
     // Each entry `split = SERVICE:WEIGHT` adds one weighted service.
     static auto readSplit(section_reader &reader) -> std::vector<weighted_service>
     {
--- a/src/config/tests/declarationtest.cpp
+++ b/src/config/tests/declarationtest.cpp
@@ -83,7 +83,7 @@
     CHECK(hasError(result, "set.ini:3: [organisation a] burst:"));
     CHECK(hasError(result,
                    "set.ini:4: [organisation a] colour: key is unknown; keys allowed in this "
-                   "section: `burst`, `priority`, `rate`, `weight`"));
+                   "section: `burst`, `priority`, `rate`, `regions`, `weight`"));
     CHECK(hasError(result, "[key k] organisation: organisation `nobody` is not declared"));
     CHECK(hasError(result, "set.ini:7: [key k] sha256:"));
     CHECK(hasError(result, "[route r] service: service `gone` is not declared"));
@@ -133,6 +133,25 @@
     CHECK(hasError(parse(VALID + "large_bodies = huge\n"), "large_bodies"));
 }
 
+// Guards against lists of allowed regions that are lost, unsorted or silently corrected.
+TEST(declaration, allowedRegionsAreDeclaredAndChecked)
+{
+    const auto result = parse(VALID
+                              + "regions = south,  east\n[organisation far]\nrate = 1\n"
+                                "burst = 1\nregions = west\n");
+    CHECK(result.has_value());
+    CHECK((result->routes.at(0).allowedRegions
+           == std::vector{base::region_id("east"), base::region_id("south")}));
+    CHECK(result->routes.at(1).allowedRegions.empty());
+    CHECK((result->organisations.at(0).allowedRegions == std::vector{base::region_id("west")}));
+    CHECK(decode(encode(*result)) == *result);
+    CHECK(hasError(parse(VALID + "regions = east, south, east\n"),
+                   "[route pay] regions: region `east` is repeated"));
+    CHECK(hasError(parse(VALID + "regions = east,,south\n"), "regions: `` is not a region name"));
+    CHECK(hasError(parse(VALID + "regions =\n"), "regions"));
+    CHECK(hasError(parse(VALID + "regions = a b\n"), "regions: `a b` is not a region name"));
+}
+
 // Guards against an encoding that depends on the order of the files. Equal sets would then have
 // different digests, and a concurrent resend would be taken for a different change.
 TEST(declaration, encodingIsCanonicalAndReversible)
