--- a/tests/mesh/meshcaller.cpp
+++ b/tests/mesh/meshcaller.cpp
@@ -43,16 +43,26 @@
 }
 
 auto mesh_caller::submitSlowRoute() -> bool
+{
+    return submitRoute(messages::slowServicePatch(2), "/slow/1");
+}
+
+auto mesh_caller::submitBoundRoute(const std::string &region) -> bool
+{
+    return submitRoute(messages::boundRoutePatch(2, region), "/bound/1");
+}
+
+auto mesh_caller::submitRoute(const std::string &patch, const std::string &path) -> bool
 {
     processtest::http_client client(m_fleet.controlAddress(0));
     const auto answer = client.send("PATCH", std::string(messages::CONFIGURATION_PATH),
-                                    messages::changeHeaders(1), messages::slowServicePatch(2));
+                                    messages::changeHeaders(1), patch);
     if (!answer || answer->status != 200) {
         return false;
     }
     const auto end = base::clock::now() + START_LIMIT;
     for (int edge = 0; edge < edgeCount() && base::clock::now() < end;) {
-        const auto known = sendTo(edge, "GET", "/slow/1");
+        const auto known = sendTo(edge, "GET", path);
         edge += known && known->status != 404 ? 1 : 0;
     }
     return true;
--- a/tests/mesh/meshcaller.h
+++ b/tests/mesh/meshcaller.h
@@ -27,6 +27,10 @@
     //! after 30 s. Precondition: `waitUntilServed` has returned true.
     auto submitSlowRoute() -> bool;
 
+    //! Adds a route (/bound/) whose requests may be executed in one region only, and waits until
+    //! each node knows it; false after 30 s. Precondition: `waitUntilServed` has returned true.
+    auto submitBoundRoute(const std::string &region) -> bool;
+
     //! Sends a request to a node with an upstream, counted from 0.
     auto sendTo(int edge, const std::string &method, const std::string &target,
                 const std::string &body = {}) -> std::optional<processtest::http_answer>;
@@ -38,6 +42,8 @@
 private:
     [[nodiscard]] auto edgeCount() const -> int { return m_fleet.size() - m_fleet.cores(); }
     auto submitConfiguration() -> bool;
+    // Submits a patch of version 1 and waits until each node knows the route of the path.
+    auto submitRoute(const std::string &patch, const std::string &path) -> bool;
 
     const testsupport::mesh_fleet &m_fleet;
     base::random_source m_random{1};
