Divide routes evenly in short windows

Cause: the service of each request of a divided route was drawn by lot, so a small part was flooded or starved for a while. Change: each node walks through the weights in steps of the golden ratio from a random start. Each single request is still distributed by the weights, also right after a start and after a change of the weights, which a round robin with a random start would not ensure. Result: shares of 400 windows of 300 requests over 80 nodes stay within 0.05, with less than three quarters of the squared deviation of lots. The existing tests are unchanged.

--- a/src/policy/internal/servicesplit.cpp
+++ b/src/policy/internal/servicesplit.cpp
@@ -1,9 +1,18 @@
 #include "policy/servicesplit.h"
 
+#include <cmath>
+#include <numbers>
 #include <numeric>
 
 namespace hawthornpick::policy {
 
+namespace {
+
+//! The golden ratio: its multiples are spread most evenly over the unit interval.
+constexpr double STEP = std::numbers::phi - 1.0;
+
+} // namespace
+
 auto service_split::choose(const config::route &route) -> base::service_id
 {
     const auto totalWeight =
@@ -14,14 +23,24 @@
     if (totalWeight == 0) {
         return route.service;
     }
-    auto remainder = m_random.below(totalWeight);
+    auto position = m_positions.find(route.id);
+    if (position == m_positions.end()) {
+        position = m_positions.emplace(route.id, m_random.unit()).first;
+    }
+    position->second = std::fmod(position->second + STEP, 1.0);
+    auto remainder = position->second * static_cast<double>(totalWeight);
+    auto chosen = route.service;
     for (const auto &weighted : route.split) {
+        if (weighted.weight == 0) {
+            continue;
+        }
+        chosen = weighted.service;
         if (remainder < weighted.weight) {
-            return weighted.service;
+            break;
         }
         remainder -= weighted.weight;
     }
-    return route.service;
+    return chosen;
 }
 
 } // namespace hawthornpick::policy
--- a/src/policy/tests/servicesplittest.cpp
+++ b/src/policy/tests/servicesplittest.cpp
@@ -1,6 +1,11 @@
 #include "policy/servicesplit.h"
 
+#include "src/policy/tests/seeds.h"
+
 #include <CppUTest/TestHarness.h>
+#include <cmath>
+#include <string>
+#include <vector>
 
 using namespace hawthornpick;
 
@@ -33,6 +38,42 @@
     DOUBLES_EQUAL(0.85, firstServiceCount / (NODES * REQUESTS), 0.05);
 }
 
+// Guards against a small part that is flooded or starved for a while although its share is right on
+// average: requests arrive at 80 nodes at random, and the weights change.
+TEST(service_split, keepsWeightsInEachWindow)
+{
+    constexpr std::size_t NODES = 80;
+    constexpr int WINDOW = 300;
+    constexpr int WINDOWS = 40;
+    constexpr double MAX_DEVIATION = 0.05;
+    double squares = 0.0;
+    double squaresOfLots = 0.0;
+    testsupport::forEachSeed(10, [&](std::uint64_t seed) {
+        base::random_source random(seed);
+        std::vector<policy::service_split> nodes;
+        for (std::size_t node = 0; node < NODES; ++node) {
+            nodes.emplace_back(seed * NODES + node);
+        }
+        for (int window = 0; window < WINDOWS; ++window) {
+            auto route = dividedRoute();
+            route.split.at(0).weight = window % 2 == 0 ? 85 : 170;
+            const double share = window % 2 == 0 ? 0.85 : 170.0 / 185.0;
+            int count = 0;
+            for (int i = 0; i < WINDOW; ++i) {
+                auto &node = nodes.at(random.below(NODES));
+                count += node.choose(route) == base::service_id("a") ? 1 : 0;
+            }
+            const double deviation = static_cast<double>(count) / WINDOW - share;
+            CHECK_TEXT(
+                    std::abs(deviation) <= MAX_DEVIATION,
+                    testsupport::seedText(seed, std::to_string(deviation).c_str()).asCharString());
+            squares += deviation * deviation;
+            squaresOfLots += share * (1.0 - share) / WINDOW;
+        }
+    });
+    CHECK_TEXT(squares < 0.75 * squaresOfLots, std::to_string(squares / squaresOfLots).c_str());
+}
+
 // Guards against requests to a service whose weight operators have set to 0.
 TEST(service_split, neverChoosesServiceWithWeightZero)
 {
