--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -400,11 +400,17 @@
     auto placementRequest(const caller::selection_request &request) const
             -> policy::placement_request
     {
-        return {request.service.id,        request.route,
-                request.idempotent,        request.bodyBytes,
-                request.excludedNodes,     request.targetTime,
-                request.deadline,          expectedLatency(request),
-                request.hasAttemptInFlight};
+        return {request.service.id,
+                request.route,
+                request.idempotent,
+                request.bodyBytes,
+                request.excludedNodes,
+                request.targetTime,
+                request.deadline,
+                expectedLatency(request),
+                request.hasAttemptInFlight,
+                request.scope(m_evacuations),
+                m_entryNodeCount};
     }
 
     // The load of other upstreams arrives with responses, that of the own one is always known: also
@@ -681,6 +687,7 @@
     base::time_point m_stopTimeStart;
     config::snapshot_cell m_configuration;
     base::snapshot_cell<membership::view> m_membershipView;
+    //! Evacuations in force.
     base::evacuation_list m_evacuations;
     policy::placement m_placement;
     upstream_health m_upstreamHealth;
