Limit cold upstreams and check places at the executing node

Upstreams that restart, turn cold or come back after an evacuation got the whole load at once, and a request that waited for a slot started at a place that a newer configuration or an evacuation no longer allows.

A gate beside each upstream of a service with a cold rate keeps starts below it in each sliding second while the upstream is cold or in doubt; what is above is refused as upstream_cold. The gate follows the announced cold time and the answers of a health question, which is asked when a request comes while the upstream is in doubt, over a connection that is kept open as a watch. The executor checks the place at admission and before the start, and refuses waiting requests when its failure domain is evacuated.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -11,6 +11,7 @@
 #include "limits/fleetratelimiter.h"
 #include "policy/callratio.h"
 #include "policy/placement.h"
+#include "policy/placementscope.h"
 #include "policy/repeatbudget.h"
 #include "policy/servicesplit.h"
 #include "status/statusserver.h"
@@ -272,6 +273,9 @@
     auto executorHooks() -> upstream::executor_hooks
     {
         upstream::executor_hooks hooks;
+        hooks.checkPlace = [this](const upstream::attempt_request &request) {
+            return checkPlace(request);
+        };
         hooks.start = [this](const upstream::attempt_request &request) {
             return m_crashControl.start(request);
         };
@@ -299,6 +303,37 @@
         return hooks;
     }
 
+    // Uses the configuration of this node, which may be newer than the entry node's.
+    auto checkPlace(const upstream::attempt_request &request) -> base::result<void>
+    {
+        followEvacuations();
+        const auto configuration = m_configuration.load();
+        const policy::placement_scope scope(config::findRoute(configuration->set(), request.route),
+                                            configuration->organisationById(request.organisation),
+                                            m_evacuations);
+        if (const auto refusal = scope.refusalFor(m_settings.region, m_settings.failureDomain)) {
+            return base::fail(*refusal);
+        }
+        return {};
+    }
+
+    // Refuses waiting requests when the evacuation of the own failure domain begins. When it ends,
+    // the upstreams may have become cold; they are in doubt before the first request is checked.
+    auto followEvacuations() -> void
+    {
+        const bool isEvacuated = m_evacuations.contains(m_settings.failureDomain);
+        if (std::exchange(m_isEvacuated, isEvacuated) == isEvacuated) {
+            return;
+        }
+        if (!isEvacuated) {
+            m_upstreams.registry().coldStarts()->onDoubtOfAll(base::clock::now());
+            return;
+        }
+        for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
+            queue->refuseWaiting(base::error_kind::UpstreamEvacuated);
+        }
+    }
+
     auto upstreamDependencies() -> upstream::service_dependencies
     {
         return {m_identity.node,
@@ -309,7 +344,7 @@
                     m_control.setUpstreams(entries);
                 },
                 m_adapter.wire,
-                {false, false},
+                {false, false, m_settings.coldOverage},
                 m_settings.heartbeat * MAX_MISSED_HEARTBEATS,
                 policy::queue_order::Urgency,
                 upstream::initial_use::Withheld};
@@ -626,6 +661,7 @@
     auto removeExpired() -> void
     {
         const auto now = base::clock::now();
+        followEvacuations();
         m_upstreams.registry().expire(now);
         m_crashControl.tick(now);
         for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
@@ -661,6 +697,9 @@
     peer::link_identity m_identity;
     base::metrics m_metrics;
     bool m_isDraining = false;
+    base::evacuation_list m_evacuations;
+    //! True if the own failure domain is evacuated as far as `followEvacuations` has seen.
+    bool m_isEvacuated = false;
     std::optional<base::time_point> m_drainStartTime;
     //! Time of the last stop signal.
     base::time_point m_stopTimeStart;
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -35,6 +35,9 @@
     case error_kind::UpstreamSuspected:
     case error_kind::UpstreamTruncated:
     case error_kind::Overloaded:
+    case error_kind::UpstreamEvacuated:
+    case error_kind::NoAllowedRegion:
+    case error_kind::UpstreamCold:
         return true;
     default:
         return false;
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -68,6 +68,9 @@
     //! every 10 ms while requests wait.
     auto expire(base::time_point now) -> void;
 
+    //! Refuses all waiting requests; their resume functions get `reason`.
+    auto refuseWaiting(base::error_kind reason) -> void;
+
     [[nodiscard]] auto load() const -> service_load;
 
     //! True if no request is running or waiting.
@@ -116,6 +119,7 @@
     auto dequeueRunnable(organisation_queue &queue, base::time_point now, resumption_list &resumed)
             -> std::optional<std::pair<waiting_request, upstream_map::iterator>>;
     auto refuseAllIfUnavailable(resumption_list &resumed) -> void;
+    auto refuseAll(base::error_kind reason, resumption_list &resumed) -> void;
     auto refuseLateRequests(organisation_queue &queue, base::time_point now,
                             resumption_list &resumed) -> void;
     auto removeEmptyQueues() -> void;
--- a/src/policy/internal/fairqueue.cpp
+++ b/src/policy/internal/fairqueue.cpp
@@ -128,6 +128,16 @@
     m_isDraining = true;
 }
 
+auto fair_queue::refuseWaiting(base::error_kind reason) -> void
+{
+    resumption_list resumed;
+    {
+        const std::lock_guard lock(m_mutex);
+        refuseAll(reason, resumed);
+    }
+    runResumptions(resumed);
+}
+
 auto fair_queue::expire(base::time_point now) -> void
 {
     resumption_list resumed;
@@ -371,12 +381,16 @@
 auto fair_queue::refuseAllIfUnavailable(resumption_list &resumed) -> void
 {
     const auto error = unavailabilityError();
-    if (!error) {
-        return;
+    if (error) {
+        refuseAll(*error, resumed);
     }
+}
+
+auto fair_queue::refuseAll(base::error_kind reason, resumption_list &resumed) -> void
+{
     for (auto &[organisation, queue] : m_queues) {
         for (auto &item : queue.requests) {
-            resumed.push_back({std::move(item.resume), base::fail(*error)});
+            resumed.push_back({std::move(item.resume), base::fail(reason)});
         }
         queue.requests.clear();
     }
--- a/src/policy/internal/urgencyqueue.cpp
+++ b/src/policy/internal/urgencyqueue.cpp
@@ -263,6 +263,14 @@
     runResumptions();
 }
 
+auto urgency_queue::refuseWaiting(base::error_kind reason) -> void
+{
+    for (auto &item : std::exchange(m_waiting, {})) {
+        m_resumptions.push_back({std::move(item.resume), base::fail(reason)});
+    }
+    runResumptions();
+}
+
 auto urgency_queue::load() const -> service_load
 {
     std::uint32_t busy = 0;
--- a/src/policy/slotqueue.h
+++ b/src/policy/slotqueue.h
@@ -70,6 +70,10 @@
     {
         visit([](auto &queue) { queue.drain(); });
     }
+    auto refuseWaiting(base::error_kind reason) -> void
+    {
+        visit([&](auto &queue) { queue.refuseWaiting(reason); });
+    }
     auto expire(base::time_point now) -> void
     {
         visit([&](auto &queue) { queue.expire(now); });
--- a/src/policy/tests/fairqueuetest.cpp
+++ b/src/policy/tests/fairqueuetest.cpp
@@ -142,6 +142,24 @@
     CHECK(queue.idle());
 }
 
+// Guards against requests that wait on although their place is evacuated, and against a queue that
+// counts them as waiting afterwards.
+TEST(fair_queue, refusesAllWaitingRequests)
+{
+    const auto first = acquire("a").value().value();
+    CHECK(!acquire("a").value().has_value());
+    CHECK(!acquire("b").value().has_value());
+    queue.refuseWaiting(base::error_kind::UpstreamEvacuated);
+    LONGS_EQUAL(2, resumed.size());
+    for (const auto &value : resumed) {
+        CHECK(value.error().kind == base::error_kind::UpstreamEvacuated);
+    }
+    LONGS_EQUAL(0, queue.load().waiting);
+    queue.release(first, true, now);
+    CHECK(queue.idle());
+    CHECK(acquire("a").value().has_value());
+}
+
 // Guards against requests that wait for an upstream which accepts no more requests.
 TEST(fair_queue, refusesWaitingRequestsWithoutUsableUpstream)
 {
--- a/src/policy/urgencyqueue.h
+++ b/src/policy/urgencyqueue.h
@@ -53,6 +53,8 @@
     //! Refuses the waiting requests that can no longer meet their deadline and grants slots that
     //! waiting requests may use by now.
     auto expire(base::time_point now) -> void;
+    //! Refuses all waiting requests; their resume functions get `reason`.
+    auto refuseWaiting(base::error_kind reason) -> void;
     [[nodiscard]] auto load() const -> service_load;
 
 private:
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -2,12 +2,14 @@
 
 #include "config/snapshot.h"
 #include "peer/link.h"
+#include "upstream/coldstarts.h"
 #include "upstream/exchange.h"
 #include "upstream/hooks.h"
 #include "upstream/registry.h"
 #include "upstream/wireprofile.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 
 namespace hawthornpick::upstream {
@@ -21,6 +23,8 @@
     //! Retries an idempotent request that was lost on a reused connection. False where the entry
     //! node has to count all retries.
     bool retriesLostRequests = true;
+    //! Ratio by which the rate of a cold upstream may exceed the rate of its service.
+    double coldOverage = 1.0;
 
     auto operator<=>(const executor_options &) const = default;
 };
@@ -34,6 +38,10 @@
     executor_hooks hooks;
     wire_profile wire = {};
     executor_options options = {};
+    std::shared_ptr<cold_starts> coldStarts = std::make_shared<cold_starts>();
+    //! Asks an upstream that is in doubt for its state and then calls `cold_starts::endQuestion`.
+    //! Thread safety: any thread.
+    std::function<void(const base::upstream_id &upstream)> askUpstream = {};
 };
 
 class executor_state;
--- a/src/upstream/hooks.h
+++ b/src/upstream/hooks.h
@@ -71,6 +71,9 @@
 {
     //! Returns true while this node holds a currency lease.
     std::function<bool()> isCurrent;
+    //! Refuses a request that may not be executed at this place, for example with `NoAllowedRegion`
+    //! or `UpstreamEvacuated`. Called at admission and again before the start.
+    std::function<base::result<void>(const attempt_request &request)> checkPlace;
     //! Marks the attempt as started, or refuses it if the attempt registry or the crash tracker
     //! does not allow it. Called at most once for each attempt.
     std::function<base::result<void>(const attempt_request &request)> start;
--- a/src/upstream/internal/announcement.cpp
+++ b/src/upstream/internal/announcement.cpp
@@ -11,6 +11,7 @@
 using membership::upstream_state;
 
 constexpr std::int64_t MAX_SLOTS = 10'000;
+constexpr std::int64_t MAX_COLD_MILLISECONDS = 86'400'000;
 
 auto stateFromName(std::string_view name) -> std::optional<upstream_state>
 {
@@ -105,9 +106,18 @@
     if (incarnation < 0) {
         return tl::unexpected<std::string>("\"incarnation\" is not an integer of 0 or more");
     }
-    return announcement{name,     base::service_id(std::string(stringMember(object, "service"))),
-                        *address, static_cast<std::uint32_t>(slots),
-                        *state,   static_cast<base::incarnation>(incarnation)};
+    const bool hasColdTime = object.contains("cold_ms");
+    const auto coldTime = integerMember(object, "cold_ms");
+    if (hasColdTime && (coldTime < 0 || coldTime > MAX_COLD_MILLISECONDS)) {
+        return tl::unexpected<std::string>("\"cold_ms\" is not an integer from 0 to 86400000");
+    }
+    announcement out{name,     base::service_id(std::string(stringMember(object, "service"))),
+                     *address, static_cast<std::uint32_t>(slots),
+                     *state,   static_cast<base::incarnation>(incarnation)};
+    if (hasColdTime) {
+        out.coldRemaining = base::milliseconds(coldTime);
+    }
+    return out;
 }
 
 } // namespace hawthornpick::upstream
--- /dev/null
+++ b/src/upstream/internal/coldstarts.cpp
@@ -0,0 +1,237 @@
+#include "upstream/coldstarts.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+
+namespace hawthornpick::upstream {
+
+using policy::cold_state;
+using policy::cold_terms;
+
+auto cold_starts::find(const base::upstream_id &upstream) -> upstream_gate *
+{
+    const auto position = m_gates.find(upstream);
+    return position == m_gates.end() ? nullptr : &position->second;
+}
+
+auto cold_starts::find(const base::upstream_id &upstream) const -> const upstream_gate *
+{
+    const auto position = m_gates.find(upstream);
+    return position == m_gates.end() ? nullptr : &position->second;
+}
+
+auto cold_starts::onAnnouncement(const base::upstream_id &upstream, const base::service_id &service,
+                                 base::incarnation incarnation,
+                                 std::optional<base::milliseconds> coldRemaining,
+                                 base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(upstream);
+    const bool isNewIncarnation = entry == nullptr || entry->incarnation != incarnation;
+    if (entry == nullptr) {
+        upstream_gate created{service, incarnation, true, false,
+                              false,   true,        {},   policy::cold_start_gate(now)};
+        entry = &m_gates.emplace(upstream, std::move(created)).first->second;
+    }
+    if (!entry->isLive) {
+        entry->gate.onDoubt(now);
+    }
+    entry->service = service;
+    entry->incarnation = incarnation;
+    entry->isLive = true;
+    entry->gate.onAnnouncement(isNewIncarnation, coldRemaining, now);
+}
+
+auto cold_starts::onGone(const base::upstream_id &upstream) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto *entry = find(upstream)) {
+        entry->isLive = false;
+    }
+}
+
+auto cold_starts::forget(const base::upstream_id &upstream) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_gates.erase(upstream);
+}
+
+auto cold_starts::onAnswer(const base::upstream_id &upstream, base::incarnation incarnation,
+                           base::duration coldRemaining, base::time_point askedAt,
+                           base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(upstream);
+    if (entry != nullptr && entry->incarnation == incarnation) {
+        entry->gate.onAnswer(coldRemaining, askedAt, now);
+    }
+}
+
+auto cold_starts::onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
+                          base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(upstream);
+    if (entry != nullptr && entry->incarnation == incarnation) {
+        entry->gate.onDoubt(now);
+    }
+}
+
+auto cold_starts::onConnectionLost(const base::upstream_id &upstream, base::incarnation incarnation,
+                                   base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(upstream);
+    if (entry != nullptr && entry->incarnation == incarnation && !entry->isWatched) {
+        entry->gate.onDoubt(now);
+    }
+}
+
+auto cold_starts::onDoubtOfAll(base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[upstream, entry] : m_gates) {
+        entry.gate.onDoubt(now);
+    }
+}
+
+auto cold_starts::setWatched(const base::upstream_id &upstream, bool isWatched) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto *entry = find(upstream)) {
+        entry->isWatched = isWatched;
+    }
+}
+
+auto cold_starts::takeQuestions(const base::service_id &service, const cold_terms &terms,
+                                base::time_point now) -> std::vector<base::upstream_id>
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<base::upstream_id> taken;
+    for (auto &[upstream, entry] : m_gates) {
+        if (entry.service == service && entry.isLive && !entry.isAsked
+            && entry.gate.state(terms, now) == cold_state::InDoubt) {
+            entry.isAsked = true;
+            entry.gate.expectQuestion(now);
+            taken.push_back(upstream);
+        }
+    }
+    return taken;
+}
+
+auto cold_starts::endQuestion(const base::upstream_id &upstream) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto *entry = find(upstream)) {
+        entry->isAsked = false;
+        entry->gate.cancelQuestion();
+    }
+}
+
+auto cold_starts::isInDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
+                            const cold_terms &terms, base::time_point now) const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    const auto *entry = find(upstream);
+    return entry != nullptr && entry->incarnation == incarnation
+           && entry->gate.state(terms, now) == cold_state::InDoubt;
+}
+
+auto cold_starts::hasFreeStart(const base::service_id &service, const cold_terms &terms,
+                               base::time_point now) const -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    bool hasUpstream = false;
+    for (const auto &[upstream, entry] : m_gates) {
+        if (entry.service != service || !entry.isLive) {
+            continue;
+        }
+        if (entry.gate.nextStart(terms, now) <= now) {
+            return true;
+        }
+        hasUpstream = true;
+    }
+    return !hasUpstream;
+}
+
+auto cold_starts::tryReserve(const base::upstream_id &upstream, const cold_terms &terms,
+                             base::time_point now) -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(upstream);
+    return entry != nullptr && entry->gate.tryReserve(terms, now);
+}
+
+auto cold_starts::tryReserveQuestion(const base::upstream_id &upstream, const cold_terms &terms,
+                                     base::time_point now) -> bool
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(upstream);
+    return entry != nullptr && entry->gate.tryReserveQuestion(terms, now);
+}
+
+auto cold_starts::nextStart(const base::upstream_id &upstream, const cold_terms &terms,
+                            base::time_point now) const -> base::time_point
+{
+    const std::lock_guard lock(m_mutex);
+    const auto *entry = find(upstream);
+    return entry == nullptr ? base::time_point::max() : entry->gate.nextStart(terms, now);
+}
+
+auto cold_starts::onSent(const base::upstream_id &upstream, const cold_terms &terms,
+                         base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto *entry = find(upstream)) {
+        entry->gate.onSent(terms, now);
+    }
+}
+
+auto cold_starts::cancelReservation(const base::upstream_id &upstream) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    if (auto *entry = find(upstream)) {
+        entry->gate.cancelReservation();
+    }
+}
+
+auto cold_starts::coldRateOf(const base::service_id &service, const cold_terms &terms,
+                             base::time_point now) -> double
+{
+    constexpr double NOT_COLD = -1.0;
+    const std::lock_guard lock(m_mutex);
+    double rate = 0.0;
+    bool isAnyWarm = false;
+    bool hasUpstream = false;
+    for (auto &[upstream, entry] : m_gates) {
+        if (entry.service != service || !entry.isLive) {
+            continue;
+        }
+        const auto state = entry.gate.state(terms, now);
+        logState(upstream, entry, state, now);
+        hasUpstream = true;
+        isAnyWarm = isAnyWarm || state == cold_state::Warm;
+        rate += terms.startRate();
+    }
+    return hasUpstream && !isAnyWarm ? rate : NOT_COLD;
+}
+
+auto cold_starts::logState(const base::upstream_id &upstream, upstream_gate &entry,
+                           cold_state state, base::time_point now) -> void
+{
+    const bool isWarm = state == cold_state::Warm;
+    if (isWarm == entry.isLoggedAsWarm || now < entry.nextLog) {
+        return;
+    }
+    entry.isLoggedAsWarm = isWarm;
+    entry.nextLog = now + LOG_INTERVAL;
+    if (isWarm) {
+        base::log(base::log_level::Info, "upstream is warm", {{"upstream", upstream.str()}});
+    } else {
+        base::log(base::log_level::Info, "upstream is cold or in doubt",
+                  {{"upstream", upstream.str()}, {"in_doubt", state == cold_state::InDoubt}});
+    }
+}
+
+} // namespace hawthornpick::upstream
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -1,5 +1,6 @@
 #include "upstream/internal/executorstate.h"
 
+#include "upstream/internal/coldprobe.h"
 #include "upstream/internal/slotwait.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -62,6 +63,12 @@
     return result.nothingSent || (request.idempotent && options.retriesLostRequests);
 }
 
+auto tellsOfRestart(attempt_ending ending) -> bool
+{
+    return ending == attempt_ending::ConnectFailed || ending == attempt_ending::ConnectionLost
+           || ending == attempt_ending::Truncated;
+}
+
 } // namespace
 
 auto endingName(attempt_ending ending) -> std::string_view
@@ -125,9 +132,21 @@
     if (m_dependencies.hooks.acceptance) {
         load.acceptance = m_dependencies.hooks.acceptance(service);
     }
+    const auto terms = coldTermsOf(service);
+    if (terms.isLimited()) {
+        load.coldRate = m_dependencies.coldStarts->coldRateOf(service, terms, base::clock::now());
+    }
     return load;
 }
 
+auto executor_state::coldTermsOf(const base::service_id &service) -> policy::cold_terms
+{
+    const auto *settings = m_configuration.current()->serviceById(service);
+    return settings == nullptr
+                   ? policy::cold_terms()
+                   : upstream::coldTermsOf(*settings, m_dependencies.options.coldOverage);
+}
+
 auto executor_state::checkKeyAndRoute(const attempt_request &request) -> base::result<void>
 {
     const auto &snapshot = *m_configuration.current();
@@ -163,6 +182,11 @@
             return key;
         }
     }
+    if (hooks.checkPlace) {
+        if (auto place = hooks.checkPlace(request); !place) {
+            return place;
+        }
+    }
     if (request.deadline <= base::clock::now()) {
         return base::fail(error_kind::DeadlineBeforeStart);
     }
@@ -193,21 +217,64 @@
     if (const auto admitted = checkAdmission(request); !admitted) {
         co_return attempt_result{admitted.error(), false, {}};
     }
+    if (const auto allowed = checkColdStart(request); !allowed) {
+        co_return attempt_result{allowed.error(), false, {}};
+    }
     auto slot = co_await acquireSlot(request, cancel);
     if (!slot) {
         co_return attempt_result{slot.error(), false, {}};
     }
-    const auto target = authorizeStart(request, slot->upstream());
-    if (!target) {
-        co_return attempt_result{target.error(), false, {}};
+    auto start = authorizeStart(request, slot->upstream());
+    if (!start) {
+        co_return attempt_result{start.error(), false, {}};
     }
-    const auto outcome = co_await runExchange(request, **target, source, sink, cancel);
+    const auto outcome = co_await runExchange(request, *start, source, sink, cancel);
     if (!outcome.failure && !base::isServerError(outcome.status)) {
         slot->markSucceeded();
     }
     co_return attempt_result{outcome.failure, outcome.answerStarted, {}};
 }
 
+auto executor_state::checkColdStart(const attempt_request &request) -> base::result<void>
+{
+    const auto terms = coldTermsOf(request.service);
+    if (!terms.isLimited()) {
+        return {};
+    }
+    auto &coldStarts = *m_dependencies.coldStarts;
+    const auto now = base::clock::now();
+    if (canAsk(request.service)) {
+        for (const auto &upstream : coldStarts.takeQuestions(request.service, terms, now)) {
+            m_dependencies.askUpstream(upstream);
+        }
+    }
+    if (!coldStarts.hasFreeStart(request.service, terms, now)) {
+        return base::fail(error_kind::UpstreamCold);
+    }
+    return {};
+}
+
+auto executor_state::canAsk(const base::service_id &service) -> bool
+{
+    const auto *settings = m_configuration.current()->serviceById(service);
+    return settings != nullptr && !settings->healthPath.empty()
+           && !m_dependencies.wire.coldTime.empty() && m_dependencies.askUpstream;
+}
+
+auto executor_state::reserveStart(const attempt_request &request, const base::upstream_id &upstream)
+        -> base::result<cold_reservation>
+{
+    const auto terms = coldTermsOf(request.service);
+    if (!terms.isLimited()) {
+        return cold_reservation();
+    }
+    const auto &coldStarts = m_dependencies.coldStarts;
+    if (!coldStarts->tryReserve(upstream, terms, base::clock::now())) {
+        return base::fail(error_kind::UpstreamCold);
+    }
+    return cold_reservation(coldStarts, upstream, terms);
+}
+
 auto executor_state::acquireSlot(const attempt_request &request, cancellation &cancel)
         -> asio::awaitable<base::result<slot_guard>>
 {
@@ -251,7 +318,7 @@
 // been withdrawn.
 auto executor_state::authorizeStart(const attempt_request &request,
                                     const base::upstream_id &upstream)
-        -> base::result<record_pointer>
+        -> base::result<authorized_start>
 {
     if (auto checked = checkAdmission(request); !checked) {
         return tl::unexpected(checked.error());
@@ -263,19 +330,24 @@
     if (record->entry.state != upstream_state::Ready) {
         return base::fail(error_kind::UpstreamDraining);
     }
+    auto reservation = reserveStart(request, upstream);
+    if (!reservation) {
+        return tl::unexpected(reservation.error());
+    }
     if (m_dependencies.hooks.start) {
         if (auto started = m_dependencies.hooks.start(request); !started) {
             return tl::unexpected(started.error());
         }
     }
-    return record;
+    return authorized_start{std::move(record), std::move(*reservation)};
 }
 
-auto executor_state::runExchange(const attempt_request &request, const upstream_record &target,
+auto executor_state::runExchange(const attempt_request &request, authorized_start &start,
                                  const body_source &source, const answer_sink &sink,
                                  cancellation &cancel) -> asio::awaitable<exchange_result>
 {
     const auto &hooks = m_dependencies.hooks;
+    const auto &target = *start.record;
     const auto observation = observationOf(request, target);
     if (hooks.onStart) {
         hooks.onStart(observation);
@@ -293,6 +365,13 @@
             }
             break;
         }
+        if (openNew && !start.reservation.renew()) {
+            if (result.nothingSent) {
+                result.failure = base::error{error_kind::UpstreamCold, {}};
+            }
+            break;
+        }
+        start.reservation.onSent();
         (*connection)->addRequest(request.requestId);
         upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
                                    service.timeout, source, sink, cancel);
@@ -305,9 +384,14 @@
             m_pool.release(std::move(*connection));
         }
     }
+    const auto ending = endingOf(result);
+    if (tellsOfRestart(ending)) {
+        m_dependencies.coldStarts->onConnectionLost(target.entry.id, target.entry.incarnation,
+                                                    base::clock::now());
+    }
     if (hooks.onFinish) {
         const auto endTime = result.headTime.value_or(base::clock::now());
-        hooks.onFinish(observation, {endingOf(result), endTime - observation.started});
+        hooks.onFinish(observation, {ending, endTime - observation.started});
     }
     co_return result;
 }
--- a/src/upstream/internal/executorstate.h
+++ b/src/upstream/internal/executorstate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "upstream/executor.h"
+#include "upstream/internal/coldreservation.h"
 #include "upstream/internal/connectionpool.h"
 #include "upstream/internal/slotguard.h"
 #include "upstream/internal/upstreamexchange.h"
@@ -43,21 +44,35 @@
 private:
     using record_pointer = std::shared_ptr<const upstream_record>;
 
-    //! Checks incarnation, configuration, key, deadline and success probability. A request that
-    //! fails here is not run.
+    //! A request that is allowed to start.
+    struct authorized_start
+    {
+        record_pointer record;
+        cold_reservation reservation;
+    };
+
+    //! Checks incarnation, configuration, key, place, deadline and success probability. A request
+    //! that fails here is not run.
     auto checkAdmission(const attempt_request &request) -> base::result<void>;
     auto checkKeyAndRoute(const attempt_request &request) -> base::result<void>;
     auto admitAndRun(const attempt_request &request, const body_source &source,
                      const answer_sink &sink, cancellation &cancel)
             -> boost::asio::awaitable<attempt_result>;
+    //! Refuses a request if all upstreams of its service here are cold and have got the requests
+    //! of this second, and has those in doubt asked.
+    auto checkColdStart(const attempt_request &request) -> base::result<void>;
+    auto canAsk(const base::service_id &service) -> bool;
+    //! Reserves the start of a request at the upstream, if it is cold.
+    auto reserveStart(const attempt_request &request, const base::upstream_id &upstream)
+            -> base::result<cold_reservation>;
     auto acquireSlot(const attempt_request &request, cancellation &cancel)
             -> boost::asio::awaitable<base::result<slot_guard>>;
     //! Repeats the admission check after the wait for a slot, looks up the upstream and marks the
     //! attempt as started.
     auto authorizeStart(const attempt_request &request, const base::upstream_id &upstream)
-            -> base::result<record_pointer>;
+            -> base::result<authorized_start>;
     //! Sends a started attempt to the upstream, at most once more on a new connection.
-    auto runExchange(const attempt_request &request, const upstream_record &target,
+    auto runExchange(const attempt_request &request, authorized_start &start,
                      const body_source &source, const answer_sink &sink, cancellation &cancel)
             -> boost::asio::awaitable<exchange_result>;
     //! Returns an idle connection or opens one; `openNew` skips the idle ones.
@@ -65,6 +80,7 @@
                            bool openNew, cancellation &cancel)
             -> boost::asio::awaitable<base::result<connection_pointer>>;
     auto serviceSettingsOf(const attempt_request &request) -> config::service;
+    auto coldTermsOf(const base::service_id &service) -> policy::cold_terms;
 
     boost::asio::io_context &m_context;
     executor_dependencies m_dependencies;
--- a/src/upstream/internal/registry.cpp
+++ b/src/upstream/internal/registry.cpp
@@ -101,6 +101,9 @@
         upstream.usableSlots.reset();
         upstream.probation = false;
     }
+    // A request may get the upstream as soon as the record is stored.
+    m_coldStarts->onAnnouncement(upstreamIdOf(received.name), received.service,
+                                 received.incarnation, received.coldRemaining, now);
     storeRecord(upstream,
                 makeRecord(isRegistered ? *upstream.record : upstream_record{}, received));
     return announce_result::Accepted;
@@ -109,7 +112,7 @@
 auto upstream_registry::makeRecord(upstream_record record, const announcement &received) const
         -> upstream_record
 {
-    record.entry.id = base::upstream_id(m_node.str() + "/" + received.name);
+    record.entry.id = upstreamIdOf(received.name);
     record.entry.service = received.service;
     record.entry.slots = received.slots;
     const bool wasLeaving =
@@ -122,6 +125,11 @@
     return record;
 }
 
+auto upstream_registry::upstreamIdOf(const std::string &name) const -> base::upstream_id
+{
+    return base::upstream_id(m_node.str() + "/" + name);
+}
+
 auto upstream_registry::usedState(upstream_state announced) const -> upstream_state
 {
     return announced == upstream_state::Ready && !m_isUseAllowed ? upstream_state::Starting
@@ -252,8 +260,13 @@
         }
     }
     std::erase_if(m_unknownWithdrawals, [now](const auto &item) { return item.second <= now; });
-    std::erase_if(m_registrations, [now](const auto &item) {
-        return !isLive(*item.second.record) && item.second.expiry + GONE_RETENTION <= now;
+    std::erase_if(m_registrations, [this, now](const auto &item) {
+        const bool isOver =
+                !isLive(*item.second.record) && item.second.expiry + GONE_RETENTION <= now;
+        if (isOver) {
+            m_coldStarts->forget(item.second.record->entry.id);
+        }
+        return isOver;
     });
 }
 
@@ -337,6 +350,7 @@
 {
     auto gone = *upstream.record;
     gone.entry.state = upstream_state::Gone;
+    m_coldStarts->onGone(gone.entry.id);
     storeRecord(upstream, std::move(gone));
 }
 
@@ -345,6 +359,7 @@
     auto left = *upstream.record;
     left.entry.isLeaving = true;
     left.entry.state = upstream_state::Gone;
+    m_coldStarts->onGone(left.entry.id);
     storeRecord(upstream, std::move(left));
 }
 
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -1,5 +1,7 @@
 #include "upstream/upstreamservice.h"
 
+#include "upstream/internal/coldprobe.h"
+
 #include <boost/asio/post.hpp>
 
 namespace hawthornpick::upstream {
@@ -24,7 +26,10 @@
     : m_contexts(std::move(contexts)),
       m_registry(dependencies.node, queueLimitFunction(dependencies.configuration),
                  dependencies.onUpstreamsChanged, dependencies.announcementLife,
-                 dependencies.queueOrder, dependencies.use)
+                 dependencies.queueOrder, dependencies.use),
+      m_coldProbe(std::make_shared<cold_probe>(*m_contexts.front(), dependencies.configuration,
+                                               m_registry.table(), m_registry.coldStarts(),
+                                               dependencies.wire, dependencies.options.coldOverage))
 {
     if (!announceAddress.address.empty()) {
         m_announceServer.emplace(*m_contexts.front(), announceAddress, m_registry);
@@ -34,10 +39,15 @@
                 *context,
                 executor_dependencies{dependencies.nodeIncarnation, dependencies.configuration,
                                       m_registry.table(), dependencies.hooks, dependencies.wire,
-                                      dependencies.options}));
+                                      dependencies.options, m_registry.coldStarts(),
+                                      [probe = m_coldProbe](const base::upstream_id &upstream) {
+                                          probe->ask(upstream);
+                                      }}));
     }
 }
 
+upstream_service::~upstream_service() = default;
+
 auto upstream_service::drain() -> void
 {
     for (const auto &executor : m_executors) {
@@ -51,6 +61,7 @@
         if (m_announceServer) {
             m_announceServer->stop();
         }
+        m_coldProbe->stop();
     });
     for (const auto &executor : m_executors) {
         boost::asio::post(executor->context(), [executor = executor.get()] { executor->stop(); });
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "membership/view.h"
 #include "policy/slotqueue.h"
+#include "upstream/coldstarts.h"
 
 #include <functional>
 #include <map>
@@ -30,6 +31,8 @@
     //! Increases with each announcement of one incarnation; 0 if the upstream sends none. A lower
     //! sequence than the last one marks a delayed announcement.
     std::uint64_t sequence = 0;
+    //! Time for which the upstream stays cold; nothing if it doesn't say.
+    std::optional<base::milliseconds> coldRemaining = {};
 
     auto operator<=>(const announcement &) const = default;
 };
@@ -157,6 +160,12 @@
 
     [[nodiscard]] auto table() const -> const upstream_table_cell & { return m_table; }
 
+    //! Returns the gates of the upstreams, which follow the announcements.
+    [[nodiscard]] auto coldStarts() const -> const std::shared_ptr<cold_starts> &
+    {
+        return m_coldStarts;
+    }
+
     //! Returns the entries as published. Upstreams that left are included in state `Gone`.
     [[nodiscard]] auto entries() const -> std::vector<membership::upstream_entry>;
 
@@ -186,6 +195,7 @@
             -> membership::upstream_state;
     [[nodiscard]] auto makeRecord(upstream_record record, const announcement &received) const
             -> upstream_record;
+    [[nodiscard]] auto upstreamIdOf(const std::string &name) const -> base::upstream_id;
     auto storeRecord(registration &upstream, upstream_record next) -> void;
     auto markGone(registration &upstream) -> void;
     //! Marks an upstream as gone because it has announced that it leaves.
@@ -209,6 +219,7 @@
     // sequence than before.
     std::uint64_t m_sequence = 0;
     upstream_table_cell m_table;
+    std::shared_ptr<cold_starts> m_coldStarts = std::make_shared<cold_starts>();
 };
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/upstreamservice.h
+++ b/src/upstream/upstreamservice.h
@@ -29,6 +29,8 @@
     initial_use use = initial_use::Allowed;
 };
 
+class cold_probe;
+
 //! Owns the objects of the upstream module: registry, announce endpoint and one executor for each
 //! I/O thread.
 class upstream_service
@@ -42,6 +44,10 @@
                      const membership::endpoint &announceAddress,
                      const service_dependencies &dependencies);
 
+    ~upstream_service();
+    upstream_service(const upstream_service &) = delete;
+    auto operator=(const upstream_service &) -> upstream_service & = delete;
+
     //! Thread safety: any thread.
     auto registry() -> upstream_registry & { return m_registry; }
     //! Returns the port of the announce endpoint, or 0 if there is none. Thread safety: any thread.
@@ -64,6 +70,8 @@
     std::vector<boost::asio::io_context *> m_contexts;
     upstream_registry m_registry;
     std::optional<announce_server> m_announceServer;
+    //! Runs on the first context.
+    std::shared_ptr<cold_probe> m_coldProbe;
     std::vector<std::unique_ptr<executor>> m_executors;
 };
 
--- a/src/upstream/wireprofile.h
+++ b/src/upstream/wireprofile.h
@@ -29,6 +29,11 @@
     std::string upstream;
     //! Header in the answer of an upstream that did not run the request; empty if there is none.
     std::string notRun;
+    //! Header in the answer to a health question that names the upstream; empty if there is none.
+    std::string upstreamId;
+    //! Header in the answer to a health question with the time in milliseconds that the upstream
+    //! stays cold; empty if there is none.
+    std::string coldTime;
     //! Upstreams repeat the request id in their answers, so that answers to other requests can be
     //! recognised.
     bool echoesRequestId = false;
