fleet: exchange with another region through one gateway

Each hub asked each other region every 250 ms and sent whole records and usages each time, also in its own region, and each report carried the node's whole record. Hubs that had moved to another hub counted as dead 20 s later at the hub that had learned of it by a sync request, or in their own directory.

One hub of a region, the first in an order by the two regions, asks another region and forwards the answers at once; the others ask when they get none for 600 ms. Usages are numbered and sent as differences, records are left out while the receiver holds them, and a receiver that has lost something asks for all. A node whose record names another hub isn't marked dead here; a node that never reports to the hub that it names is, after the same time; a node that was marked dead raises its sequence.

Hubs of the former version may run beside these: they ask regions themselves and get whole records and usages.

--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -3,12 +3,13 @@
 #include "base/message.h"
 #include "base/time.h"
 #include "fleet/departurejournal.h"
+#include "fleet/gatewaywatch.h"
 #include "fleet/recordtable.h"
 #include "fleet/reporter.h"
+#include "fleet/usagetable.h"
 
 #include <functional>
 #include <map>
-#include <set>
 #include <vector>
 
 namespace hawthornpick::fleet {
@@ -30,10 +31,14 @@
 //! synchronises records with the other hubs, and distributes records, committed configuration
 //! documents and total usage.
 //!
-//! All hubs of one region synchronise with each other. For each other region, a hub queries one
-//! hub, which answers for its whole region, so that the traffic between regions grows linearly and
-//! not quadratically with the number of hubs. The usage of a node counts once: at the hub that the
-//! `reportsTo` of its record names.
+//! All hubs of one region synchronise with each other. For each other region, one hub, the gateway,
+//! queries one hub, which answers for its whole region, and forwards the answers to the hubs of its
+//! own region at once, so that what crosses regions crosses once; see `gateway_watch`. Messages
+//! refer to what the receiver has said to hold; a receiver that has lost it asks for all of it. The
+//! usage of a node counts once: at the hub that the `reportsTo` of its record names.
+//!
+//! Hubs of the version before gateways may run beside others: they query other regions themselves,
+//! are sent whole records and usages, and get no forwarded answers.
 //! Thread safety of all members: one thread.
 class hub
 {
@@ -128,33 +133,76 @@
         //! Position up to which the directory of the peer has been received.
         directory_cursor cursor;
         base::time_point lastRequestAt;
-        usage_sum usage;
+        //! Usage of the nodes that report to the peer, and their number.
+        usage_copy usage;
+        double nodeCount = 0.0;
         //! Number of nodes that reported to the peer when it sent `usage`.
         std::size_t reporterCount = 0;
         base::time_point backoffUntil;
+        base::time_point lastHeardAt;
+        //! False if the peer doesn't forward answers: it runs a former version.
+        bool isCurrent = false;
+        //! Version of this node's record that the peer holds.
+        std::optional<record_version> heldRecord;
+        //! Positions in this hub's directory and local usage up to which changes were sent to the
+        //! peer. It notices if some were lost.
+        std::uint64_t sentChange = 0;
+        usage_position sentUsage;
     };
-    //! Another region as described by the hub of it that is queried.
+    //! Another region as described by one of its hubs, directly or by a gateway.
     struct region_state
     {
         base::node_id queriedHub;
         int unansweredRequests = 0;
+        bool isQueried = false;
         base::time_point lastAnswerAt;
-        usage_sum usage;
+        //! Hub of that region that sent the usage.
+        base::node_id source;
+        usage_copy usage;
+        double nodeCount = 0.0;
     };
 
     auto onReport(const base::node_id &from, const report &content, base::time_point now)
             -> messages;
+    auto onShortReport(const base::node_id &from, const report &content, base::time_point now)
+            -> messages;
     auto onSyncRequest(const base::node_id &from, const sync_request &content, base::time_point now)
             -> messages;
     auto onSyncAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
-            -> void;
+            -> messages;
+    //! Takes over the usage of a region from the hub of it that is queried.
+    auto onRegionAnswer(const base::node_id &from, const sync_answer &content, base::time_point now)
+            -> messages;
+    //! Takes over what a gateway has got; returns false if it got more before that is missing here.
+    auto onForwardedUsage(const base::node_id &from, const region_usage &content,
+                          base::time_point now) -> bool;
+    auto forward(const region_usage &usage, base::time_point now) -> messages;
+    [[nodiscard]] auto wantedUsages(const std::vector<base::region_id> &regions,
+                                    base::time_point now) const -> std::vector<region_usage>;
+    auto onHeard(const base::node_id &from, base::time_point now) -> void;
+    //! Stores a record that was sent by `source`.
+    auto mergeRecord(const node_record &record, const base::node_id &source) -> void;
+    [[nodiscard]] auto storedVersion(const base::node_id &node) const
+            -> std::optional<record_version>;
+    //! Returns the stored record of a sender that sent only its version, if it is as new.
+    [[nodiscard]] auto storedSender(const base::node_id &from, const record_version &version) const
+            -> const node_record *;
+    //! Returns the changes of local usage that the peer hasn't been sent, and counts them as sent.
+    auto takeLocalUsage(peer_state &peer) -> usage_changes;
+    [[nodiscard]] auto syncRequestFor(const base::node_id &target) -> sync_request;
+    [[nodiscard]] auto recordsForPeer(const base::node_id &peer,
+                                      const directory_cursor &cursor) const
+            -> std::vector<node_record>;
+    auto updateLocalTable(base::time_point now) -> void;
     [[nodiscard]] auto onStoreRequest(const base::node_id &from, const store_request &content,
                                       base::time_point now) -> messages;
     //! Stores what another node knows about the departures of upstreams.
     auto mergeDepartures(const std::vector<node_record> &records) -> void;
     [[nodiscard]] auto isDirectoryComplete(base::time_point now) const -> bool;
-    auto onUsageUpdate(const base::node_id &from, const usage_update &content) -> void;
+    auto onUsageUpdate(const base::node_id &from, const usage_update &content) -> messages;
     auto sendSyncRequests(base::time_point now) -> messages;
+    auto queryRegions(const std::map<base::region_id, std::vector<base::node_id>> &peers,
+                      base::time_point now) -> messages;
     auto sendUsageUpdates(base::time_point now) -> messages;
     auto pushTotals(base::time_point now) -> messages;
     auto peersByRegion() const -> std::map<base::region_id, std::vector<base::node_id>>;
@@ -171,13 +219,17 @@
     auto addDirectoryChanges(report_answer &answer, const report &content) const -> void;
     //! Number of live entry nodes whose records name each hub.
     [[nodiscard]] auto reporterCounts() const -> std::map<base::node_id, std::size_t>;
-    [[nodiscard]] auto recordsForOtherRegion(const directory_cursor &cursor) const
+    [[nodiscard]] auto recordsForOtherRegion(const base::node_id &reader,
+                                             const directory_cursor &cursor) const
             -> std::vector<node_record>;
     [[nodiscard]] auto isServedByOtherRegion(const base::node_id &reportsTo) const -> bool;
     [[nodiscard]] auto regionUsage(base::time_point now) const -> usage_sum;
     [[nodiscard]] auto fleetUsage(base::time_point now) const -> usage_sum;
     auto recentFleetUsage(base::time_point now) -> const usage_sum &;
     auto expireSilentReporters(base::time_point now) -> void;
+    auto expireMissingReporters(base::time_point now) -> void;
+    [[nodiscard]] auto lastHeardAt(const base::node_id &node) const -> base::time_point;
+    auto markDead(const base::node_id &node) -> void;
     [[nodiscard]] auto localUsage(base::time_point now) const -> usage_sum;
     [[nodiscard]] auto totalsFor(const base::usage_map &reportedUsages,
                                  const base::usage_map &fleetUsages) const -> base::usage_map;
@@ -201,8 +253,15 @@
     //! that it knows.
     bool m_hasCompleteDirectory = false;
     base::time_point m_nextSyncAt;
-    //! Organisations whose usage at the nodes of this hub changed since it was sent to other hubs.
-    std::set<base::organisation_id> m_changedOrganisations;
+    //! Live nodes whose records name this hub and that haven't reported to this process.
+    std::map<base::node_id, base::time_point> m_missingReporters;
+    gateway_watch m_gateways;
+    //! Usage of the nodes of this hub, and of those of the region.
+    usage_table m_localTable;
+    usage_table m_regionTable;
+    double m_localNodeCount = 0.0;
+    //! True if the usage of nodes of this hub changed since it was sent to other hubs.
+    bool m_hasUsageChanges = false;
     base::time_point m_nextUsageUpdateAt;
     usage_sum m_fleetUsage;
     base::time_point m_fleetUsageAt;
--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -44,6 +44,35 @@
   3: i32 admitted
 }
 
+// Version of a node's record.
+struct record_version {
+  1: i64 generation
+  2: i64 sequence
+}
+
+// Position up to which a reader has received the usages of a process.
+struct usage_position {
+  1: i64 boot
+  2: i64 number
+}
+
+// Positions between which the usages of a message changed; all usages if `since` is 0.
+struct usage_span {
+  1: i64 boot
+  2: i64 since
+  3: i64 last
+}
+
+// Usage of another region, which a hub of that region sent to the sender.
+struct region_usage {
+  1: string region
+  2: string source
+  3: usage_span span
+  4: list<usage> usages
+  5: i32 nodes
+  6: i32 age_ms
+}
+
 // Sent by each node to its hub. `boot` identifies a process of the hub, and `change` is the number of
 // the last directory change that the node has received from it.
 struct report {
@@ -64,6 +93,8 @@
   10: optional bool tells_departures
   // Time of the sender's monotonic clock, which the answer repeats.
   11: optional i64 sent_at
+  // Replaces `sender`, which is then empty, if the receiver has said that it holds this version.
+  20: optional record_version sender_version
 }
 
 struct report_answer {
@@ -84,6 +115,8 @@
   12: optional i64 report_sent_at
   // Newest version that the hub has.
   13: optional i64 hub_version
+  // Version of the receiver's record that the sender holds.
+  20: optional record_version stored
 }
 
 // Sent by each hub to the other hubs of its region, with the summed usage of the nodes that report to
@@ -95,6 +128,17 @@
   4: list<usage> usages
   // Number of nodes in the sum.
   5: i32 nodes
+  // As in `report`.
+  20: optional record_version sender_version
+  // Position in the receiver's usage that the sender has: of its region for a sender of another
+  // region, otherwise of its nodes. Not set by former versions, which need all of it each time.
+  21: optional usage_position usages_known
+  // Positions of `usages`.
+  22: optional usage_span span
+  // Version of the receiver's record that the sender holds.
+  23: optional record_version stored
+  // Other regions whose usage the sender lacks.
+  24: optional list<string> wanted_regions
 }
 
 struct sync_answer {
@@ -106,6 +150,17 @@
   5: i32 region_nodes
   // True if the sender's directory has been collected since its start.
   6: optional bool complete
+  // Positions of `region_usages`.
+  20: optional usage_span span
+  // Usage of other regions that the sender has got.
+  21: optional list<region_usage> other_regions
+  // Set if the message answers no request: `records` are complete only for a reader with at least
+  // this position.
+  22: optional i64 since_change
+  // Version of the receiver's record that the sender holds.
+  23: optional record_version stored
+  // True if the sender lacks what a request referred to: the receiver repeats it in full.
+  24: optional bool needs_all
 }
 
 // Asks a hub to store the sender's record.
@@ -130,6 +185,8 @@
 struct usage_update {
   1: list<usage> usages
   2: bool from_hub
+  // Positions of the usages of a hub.
+  20: optional usage_span span
 }
 
 // Usage of all nodes for organisations near their limit, sent by a hub to its nodes between the
--- a/src/fleet/internal/messages.cpp
+++ b/src/fleet/internal/messages.cpp
@@ -188,6 +188,52 @@
     return out;
 }
 
+auto toWire(const record_version &version) -> wire::record_version
+{
+    wire::record_version out;
+    out.generation = static_cast<std::int64_t>(version.generation);
+    out.sequence = static_cast<std::int64_t>(version.sequence);
+    return out;
+}
+
+auto versionFromWire(bool isSet, const wire::record_version &version)
+        -> std::optional<record_version>
+{
+    return isSet ? std::optional(record_version{static_cast<std::uint64_t>(version.generation),
+                                                static_cast<std::uint64_t>(version.sequence)})
+                 : std::nullopt;
+}
+
+auto spanOf(const usage_changes &changes) -> wire::usage_span
+{
+    wire::usage_span out;
+    out.boot = static_cast<std::int64_t>(changes.until.bootId);
+    out.since = static_cast<std::int64_t>(changes.since);
+    out.last = static_cast<std::int64_t>(changes.until.number);
+    return out;
+}
+
+// Former versions set no span and send all usages.
+auto changesFromWire(const std::vector<wire::usage> &usages, const wire::usage_span &span)
+        -> usage_changes
+{
+    return {fromWire(usages),
+            {static_cast<std::uint64_t>(span.boot), static_cast<std::uint64_t>(span.last)},
+            static_cast<std::uint64_t>(span.since)};
+}
+
+auto toWire(const region_usage &item) -> wire::region_usage
+{
+    wire::region_usage out;
+    out.region = item.region.str();
+    out.source = item.source.str();
+    out.span = spanOf(item.changes);
+    out.usages = toWire(item.changes.usages);
+    out.nodes = static_cast<std::int32_t>(item.nodeCount);
+    out.age_ms = static_cast<std::int32_t>(item.age.count());
+    return out;
+}
+
 auto cursorFromWire(std::int64_t bootId, std::int64_t changeNumber) -> directory_cursor
 {
     return {static_cast<std::uint64_t>(bootId), static_cast<std::uint64_t>(changeNumber)};
@@ -208,6 +254,13 @@
     return static_cast<std::uint32_t>(std::max(0, count));
 }
 
+auto fromWire(const wire::region_usage &item) -> region_usage
+{
+    return {base::region_id(item.region), base::node_id(item.source),
+            changesFromWire(item.usages, item.span), nodeCountFromWire(item.nodes),
+            base::milliseconds(std::max(0, item.age_ms))};
+}
+
 auto digestFromWire(bool isSet, const std::string &bytes) -> std::optional<directory_digest>
 {
     return isSet ? directory_digest::fromBytes(bytes) : std::nullopt;
@@ -265,7 +318,11 @@
     auto operator()(const report &content) const -> void
     {
         wire::report encoded;
-        encoded.sender = toWire(content.sender);
+        if (content.senderVersion) {
+            encoded.__set_sender_version(toWire(*content.senderVersion));
+        } else {
+            encoded.sender = toWire(content.sender);
+        }
         encoded.boot = static_cast<std::int64_t>(content.cursor.bootId);
         encoded.change = static_cast<std::int64_t>(content.cursor.changeNumber);
         encoded.version = static_cast<std::int64_t>(content.configVersion);
@@ -301,16 +358,39 @@
         encoded.__set_complete(content.isDirectoryComplete);
         encoded.__set_report_sent_at(timeToWire(content.reportSentAt));
         encoded.__set_hub_version(static_cast<std::int64_t>(content.hubVersion));
+        if (content.stored) {
+            encoded.__set_stored(toWire(*content.stored));
+        }
         out.__set_answer(encoded);
     }
     auto operator()(const sync_request &content) const -> void
     {
         wire::sync_request encoded;
-        encoded.sender = toWire(content.sender);
+        if (content.senderVersion) {
+            encoded.__set_sender_version(toWire(*content.senderVersion));
+        } else {
+            encoded.sender = toWire(content.sender);
+        }
         encoded.boot = static_cast<std::int64_t>(content.cursor.bootId);
         encoded.change = static_cast<std::int64_t>(content.cursor.changeNumber);
-        encoded.usages = toWire(content.localUsages);
+        encoded.usages = toWire(content.localUsages.usages);
         encoded.nodes = static_cast<std::int32_t>(content.localNodeCount);
+        if (content.localUsages.until.bootId != 0) {
+            encoded.__set_span(spanOf(content.localUsages));
+        }
+        if (content.knownUsage) {
+            wire::usage_position position;
+            position.boot = static_cast<std::int64_t>(content.knownUsage->bootId);
+            position.number = static_cast<std::int64_t>(content.knownUsage->number);
+            encoded.__set_usages_known(position);
+        }
+        if (content.stored) {
+            encoded.__set_stored(toWire(*content.stored));
+        }
+        for (const auto &region : content.wantedRegions) {
+            encoded.wanted_regions.push_back(region.str());
+            encoded.__isset.wanted_regions = true;
+        }
         out.__set_sync(encoded);
     }
     auto operator()(const sync_answer &content) const -> void
@@ -320,10 +400,24 @@
         encoded.change = static_cast<std::int64_t>(content.cursor.changeNumber);
         encoded.records = toWire(content.records);
         if (content.regionUsages) {
-            encoded.__set_region_usages(toWire(*content.regionUsages));
+            encoded.__set_region_usages(toWire(content.regionUsages->usages));
+            encoded.__set_span(spanOf(*content.regionUsages));
         }
         encoded.region_nodes = static_cast<std::int32_t>(content.regionNodeCount);
         encoded.__set_complete(content.isDirectoryComplete);
+        for (const auto &item : content.otherRegions) {
+            encoded.other_regions.push_back(toWire(item));
+            encoded.__isset.other_regions = true;
+        }
+        if (content.sinceChange) {
+            encoded.__set_since_change(static_cast<std::int64_t>(*content.sinceChange));
+        }
+        if (content.stored) {
+            encoded.__set_stored(toWire(*content.stored));
+        }
+        if (content.needsAll) {
+            encoded.__set_needs_all(true);
+        }
         out.__set_synced(encoded);
     }
     auto operator()(const config_notice &content) const -> void
@@ -336,8 +430,11 @@
     auto operator()(const usage_update &content) const -> void
     {
         wire::usage_update encoded;
-        encoded.usages = toWire(content.usages);
+        encoded.usages = toWire(content.usages.usages);
         encoded.from_hub = content.isFromHub;
+        if (content.usages.until.bootId != 0) {
+            encoded.__set_span(spanOf(content.usages));
+        }
         out.__set_usage_change(encoded);
     }
     auto operator()(const usage_totals &content) const -> void
@@ -378,6 +475,48 @@
     answer.isDirectoryComplete = encoded.complete;
     answer.reportSentAt = timeFromWire(encoded.report_sent_at);
     answer.hubVersion = static_cast<base::config_version>(encoded.hub_version);
+    answer.stored = versionFromWire(encoded.__isset.stored, encoded.stored);
+    return answer;
+}
+
+auto syncRequestFromWire(const wire::sync_request &encoded) -> sync_request
+{
+    sync_request request;
+    if (!encoded.__isset.sender_version) {
+        request.sender = fromWire(encoded.sender);
+    }
+    request.cursor = cursorFromWire(encoded.boot, encoded.change);
+    request.localUsages = changesFromWire(encoded.usages, encoded.span);
+    request.localNodeCount = nodeCountFromWire(encoded.nodes);
+    request.senderVersion = versionFromWire(encoded.__isset.sender_version, encoded.sender_version);
+    if (encoded.__isset.usages_known) {
+        request.knownUsage =
+                usage_position{static_cast<std::uint64_t>(encoded.usages_known.boot),
+                               static_cast<std::uint64_t>(encoded.usages_known.number)};
+    }
+    request.stored = versionFromWire(encoded.__isset.stored, encoded.stored);
+    for (const auto &region : encoded.wanted_regions) {
+        request.wantedRegions.emplace_back(region);
+    }
+    return request;
+}
+
+auto syncAnswerFromWire(const wire::sync_answer &encoded) -> sync_answer
+{
+    sync_answer answer{cursorFromWire(encoded.boot, encoded.change), fromWire(encoded.records),
+                       std::nullopt, nodeCountFromWire(encoded.region_nodes)};
+    if (encoded.__isset.region_usages) {
+        answer.regionUsages = changesFromWire(encoded.region_usages, encoded.span);
+    }
+    answer.isDirectoryComplete = encoded.complete;
+    for (const auto &item : encoded.other_regions) {
+        answer.otherRegions.push_back(fromWire(item));
+    }
+    if (encoded.__isset.since_change) {
+        answer.sinceChange = static_cast<std::uint64_t>(encoded.since_change);
+    }
+    answer.stored = versionFromWire(encoded.__isset.stored, encoded.stored);
+    answer.needsAll = encoded.needs_all;
     return answer;
 }
 
@@ -454,11 +593,12 @@
         return std::nullopt;
     }
     if (decoded->__isset.node_report) {
-        if (!isValid(decoded->node_report.sender)) {
+        const auto &encoded = decoded->node_report;
+        const bool hasVersionOnly = encoded.__isset.sender_version;
+        if (!hasVersionOnly && !isValid(encoded.sender)) {
             return std::nullopt;
         }
-        const auto &encoded = decoded->node_report;
-        return report{fromWire(encoded.sender),
+        return report{hasVersionOnly ? node_record() : fromWire(encoded.sender),
                       cursorFromWire(encoded.boot, encoded.change),
                       static_cast<base::config_version>(encoded.version),
                       fromWire(encoded.usages),
@@ -467,35 +607,28 @@
                       encoded.distant,
                       fromWire(encoded.known_departures),
                       encoded.tells_departures,
-                      timeFromWire(encoded.sent_at)};
+                      timeFromWire(encoded.sent_at),
+                      versionFromWire(hasVersionOnly, encoded.sender_version)};
     }
     if (decoded->__isset.answer) {
         return reportAnswerFromWire(decoded->answer);
     }
     if (decoded->__isset.sync) {
-        if (!isValid(decoded->sync.sender)) {
+        if (!decoded->sync.__isset.sender_version && !isValid(decoded->sync.sender)) {
             return std::nullopt;
         }
-        const auto &encoded = decoded->sync;
-        return sync_request{fromWire(encoded.sender), cursorFromWire(encoded.boot, encoded.change),
-                            fromWire(encoded.usages), nodeCountFromWire(encoded.nodes)};
+        return syncRequestFromWire(decoded->sync);
     }
     if (decoded->__isset.synced) {
-        const auto &encoded = decoded->synced;
-        sync_answer answer{cursorFromWire(encoded.boot, encoded.change), fromWire(encoded.records),
-                           std::nullopt, nodeCountFromWire(encoded.region_nodes)};
-        if (encoded.__isset.region_usages) {
-            answer.regionUsages = fromWire(encoded.region_usages);
-        }
-        answer.isDirectoryComplete = encoded.complete;
-        return answer;
+        return syncAnswerFromWire(decoded->synced);
     }
     if (decoded->__isset.notice) {
         return config_notice{{static_cast<base::config_version>(decoded->notice.version),
                               std::move(decoded->notice.content)}};
     }
     if (decoded->__isset.usage_change) {
-        return usage_update{fromWire(decoded->usage_change.usages), decoded->usage_change.from_hub};
+        const auto &encoded = decoded->usage_change;
+        return usage_update{changesFromWire(encoded.usages, encoded.span), encoded.from_hub};
     }
     if (decoded->__isset.usage_total) {
         return usage_totals{fromWire(decoded->usage_total.totals),
--- a/src/fleet/internal/recordtable.cpp
+++ b/src/fleet/internal/recordtable.cpp
@@ -66,12 +66,12 @@
 
 } // namespace
 
-auto record_table::merge(const node_record &record) -> bool
+auto record_table::merge(const node_record &record, const base::node_id &source) -> bool
 {
     auto &stored = m_records[record.entry.id];
     const bool isNew = stored.changeNumber == 0;
     if (isNew) {
-        store(stored, record);
+        store(stored, record, source);
         return true;
     }
     const bool isNewer = record.isNewerThan(stored.record);
@@ -81,11 +81,13 @@
     if (!isNewer && merged.formerUpstreams == stored.record.formerUpstreams) {
         return false;
     }
-    store(stored, std::move(merged));
+    const bool isAsSent = isNewer && merged.formerUpstreams == record.formerUpstreams;
+    store(stored, std::move(merged), isAsSent ? source : base::node_id());
     return true;
 }
 
-auto record_table::store(numbered_record &stored, node_record record) -> void
+auto record_table::store(numbered_record &stored, node_record record, const base::node_id &source)
+        -> void
 {
     const bool isNew = stored.changeNumber == 0;
     m_nodeByChangeNumber.erase(stored.changeNumber);
@@ -99,6 +101,7 @@
         stored.contentChangeNumber = stored.changeNumber;
     }
     stored.record = std::move(record);
+    stored.source = source;
 }
 
 auto record_table::find(const base::node_id &node) const -> const node_record *
@@ -118,13 +121,6 @@
     return hubs;
 }
 
-auto record_table::allChangedSince(const directory_cursor &readerCursor) const
-        -> std::vector<node_record>
-{
-    return changesAfter(lastChangeReadBy(readerCursor),
-                        [](const numbered_record &) { return true; });
-}
-
 auto record_table::changedSince(const directory_cursor &readerCursor) const
         -> std::vector<node_record>
 {
@@ -134,13 +130,15 @@
     });
 }
 
-auto record_table::changedOrReportingTo(const base::node_id &hub,
-                                        const directory_cursor &readerCursor) const
+auto record_table::changedOrWanted(const record_filter &isWanted, const base::node_id &reader,
+                                   const directory_cursor &readerCursor) const
         -> std::vector<node_record>
 {
     const auto lastRead = lastChangeReadBy(readerCursor);
-    return changesAfter(lastRead, [lastRead, &hub](const numbered_record &item) {
-        return item.contentChangeNumber > lastRead || item.record.reportsTo == hub;
+    return changesAfter(lastRead, [&](const numbered_record &item) {
+        const bool isReadBack = lastRead > 0 && !item.source.empty() && item.source == reader;
+        return !isReadBack
+               && (item.contentChangeNumber > lastRead || isWanted(item.record, item.source));
     });
 }
 
--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -61,6 +61,7 @@
     }
     if (m_isAwaitingAnswer && now - m_reportSentAt >= ANSWER_TIMEOUT) {
         m_isAwaitingAnswer = false;
+        m_heldRecord.reset();
         ++m_unansweredReports;
         if (m_unansweredReports >= MAX_UNANSWERED_REPORTS || m_failedHubCount > 0) {
             markHubFailed(now);
@@ -83,7 +84,7 @@
         return {};
     }
     m_nextUsageUpdateAt = now + USAGE_UPDATE_INTERVAL;
-    return {toOutgoingMessage(m_hub, usage_update{std::move(usages), false})};
+    return {toOutgoingMessage(m_hub, usage_update{{std::move(usages)}, false})};
 }
 
 auto reporter::requestStorage(base::time_point now) -> messages
@@ -157,8 +158,14 @@
 
 auto reporter::supersede(const node_record &record) -> void
 {
-    if (record.isNewerThan(m_self)) {
+    if (record.generation > m_self.generation) {
         supersede(record.generation);
+        return;
+    }
+    // A hub that didn't hear this process for long has marked it dead.
+    if (record.version() >= m_self.version() && record.entry != m_self.entry) {
+        m_self.sequence = record.sequence;
+        onSelfChanged();
     }
 }
 
@@ -200,6 +207,7 @@
     m_isAwaitingAnswer = false;
     m_unansweredReports = 0;
     m_failedHubCount = 0;
+    m_heldRecord = answer.stored;
     applyAnswer(answer);
     m_callbacks.onTotals(answer.usageTotals, coverageShare(answer.coveredNodeCount));
     if (mustReportAgain && !m_usesDeputy) {
@@ -308,6 +316,9 @@
 // one.
 auto reporter::applyOwnRecord(const node_record &record) -> void
 {
+    if (record.generation == m_self.generation) {
+        supersede(record);
+    }
     auto former = record.formerUpstreams;
     if (record.generation != m_self.generation) {
         former.insert(former.end(), record.entry.upstreams.begin(), record.entry.upstreams.end());
@@ -338,6 +349,11 @@
     m_isAwaitingAnswer = true;
     report nodeReport{m_self, m_cursors[m_hub], m_configVersion, m_callbacks.currentUsages(),
                       false};
+    if (m_heldRecord && m_heldRecord->generation == m_self.generation
+        && m_heldRecord->sequence >= m_self.sequence) {
+        nodeReport.sender = {};
+        nodeReport.senderVersion = m_self.version();
+    }
     if (nodeReport.cursor.bootId == 0) {
         nodeReport.directoryDigest = m_records.digest();
     }
@@ -434,6 +450,7 @@
     m_previouslyProbed.clear();
     m_isAwaitingAnswer = false;
     m_unansweredReports = 0;
+    m_heldRecord.reset();
     // The record tells the previous hub that the node now reports elsewhere.
     m_self.reportsTo = hub;
     ++m_self.sequence;
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -4,6 +4,7 @@
 #include "base/message.h"
 #include "base/time.h"
 #include "base/usage.h"
+#include "fleet/usagetable.h"
 #include "membership/view.h"
 
 #include <array>
@@ -16,6 +17,15 @@
 
 namespace hawthornpick::fleet {
 
+//! Version of a node's record; a higher one is newer.
+struct record_version
+{
+    std::uint64_t generation = 0;
+    std::uint64_t sequence = 0;
+
+    auto operator<=>(const record_version &) const = default;
+};
+
 //! A node as it describes itself to its hub. Of two records of a node, the one with the higher
 //! (generation, sequence) is newer.
 struct node_record
@@ -57,9 +67,10 @@
     }
     //! Returns true if an upstream of this or a former process has announced that it leaves.
     [[nodiscard]] auto hasDeparture() const -> bool;
+    [[nodiscard]] auto version() const -> record_version { return {generation, sequence}; }
     [[nodiscard]] auto isNewerThan(const node_record &other) const -> bool
     {
-        return std::pair(generation, sequence) > std::pair(other.generation, other.sequence);
+        return version() > other.version();
     }
 };
 
@@ -131,6 +142,8 @@
     bool tellsDepartures = false;
     //! Time of sending by the clock of the sender. The receiver only repeats it.
     base::time_point sentAt = {};
+    //! Replaces `sender`, which is then empty, if the receiver has said that it holds this version.
+    std::optional<record_version> senderVersion = std::nullopt;
 };
 
 struct report_answer
@@ -157,9 +170,24 @@
     base::time_point reportSentAt = {};
     //! Newest version that the hub has.
     base::config_version hubVersion = 0;
+    //! Version of the receiver's record that the sender holds.
+    std::optional<record_version> stored = std::nullopt;
 };
 
-//! Sent by a hub to each hub of its region and to one hub of each other region.
+//! Usage of a region, as one of its hubs sent it to the gateway of another region.
+struct region_usage
+{
+    base::region_id region;
+    //! That hub.
+    base::node_id source;
+    usage_changes changes;
+    //! Number of entry nodes in the sum.
+    std::uint32_t nodeCount = 0;
+    //! Time since the sender got the usage.
+    base::milliseconds age{};
+};
+
+//! Sent by a hub to each hub of its region, and by a gateway to one hub of another region.
 struct sync_request
 {
     node_record sender;
@@ -167,9 +195,18 @@
     directory_cursor cursor;
     //! Summed usage of the entry nodes that report to the sender; empty if the receiver is in
     //! another region.
-    base::usage_map localUsages;
+    usage_changes localUsages;
     //! Number of these nodes.
     std::uint32_t localNodeCount = 0;
+    //! As `report::senderVersion`.
+    std::optional<record_version> senderVersion = std::nullopt;
+    //! Position of the sender in the usage of the receiver: of its region if the sender is in
+    //! another one, otherwise of its nodes. Not set by former versions.
+    std::optional<usage_position> knownUsage = std::nullopt;
+    //! Version of the receiver's record that the sender holds.
+    std::optional<record_version> stored = std::nullopt;
+    //! Other regions whose usage the sender lacks.
+    std::vector<base::region_id> wantedRegions = {};
 };
 
 struct sync_answer
@@ -178,11 +215,20 @@
     directory_cursor cursor;
     std::vector<node_record> records;
     //! Summed usage of the sender's region; set only if the receiver is in another region.
-    std::optional<base::usage_map> regionUsages;
+    std::optional<usage_changes> regionUsages;
     //! Number of entry nodes in this sum.
     std::uint32_t regionNodeCount = 0;
     //! True if the directory of the sender has been collected since its start.
     bool isDirectoryComplete = false;
+    //! Usage of other regions that the sender has got; set only if the receiver is in its region.
+    std::vector<region_usage> otherRegions = {};
+    //! Set if the message answers no request: `records` are complete only for a reader with at
+    //! least this change number.
+    std::optional<std::uint64_t> sinceChange = std::nullopt;
+    //! Version of the receiver's record that the sender holds.
+    std::optional<record_version> stored = std::nullopt;
+    //! True if the sender lacks what a request referred to: the receiver repeats it in full.
+    bool needsAll = false;
 };
 
 //! Asks a hub to store the record of the sender, besides the hub in use.
@@ -208,7 +254,7 @@
 //! known to all nodes within a fraction of a report interval.
 struct usage_update
 {
-    base::usage_map usages;
+    usage_changes usages;
     //! True if the usages are sums over the nodes that report to the sender.
     bool isFromHub = false;
 };
--- a/src/fleet/recordtable.h
+++ b/src/fleet/recordtable.h
@@ -2,6 +2,7 @@
 
 #include "fleet/messages.h"
 
+#include <functional>
 #include <map>
 
 namespace hawthornpick::fleet {
@@ -11,14 +12,18 @@
 class record_table
 {
 public:
+    //! Selects records; `source` is empty if the record wasn't sent like this by one node.
+    using record_filter =
+            std::function<bool(const node_record &record, const base::node_id &source)>;
+
     //! `bootId` identifies the process: change numbers start again from 1 after a restart.
     explicit record_table(std::uint64_t bootId) : m_bootId(bootId) {}
 
     //! Stores `record` if it is newer than the stored record of the same node. Either way, the
     //! upstreams that former processes of the node published are kept until the node lists them:
     //! a process that starts can't know what its predecessor acknowledged. Returns true if the
-    //! stored record changed.
-    auto merge(const node_record &record) -> bool;
+    //! stored record changed. `source` is the node that sent the record, if it isn't read back.
+    auto merge(const node_record &record, const base::node_id &source = {}) -> bool;
 
     //! Returns the record of a node, or null if the node is unknown. The pointer is valid until
     //! the table is destroyed.
@@ -37,13 +42,10 @@
     [[nodiscard]] auto changedSince(const directory_cursor &readerCursor) const
             -> std::vector<node_record>;
 
-    //! As `changedSince`, with the records of which only the hub in use changed.
-    [[nodiscard]] auto allChangedSince(const directory_cursor &readerCursor) const
-            -> std::vector<node_record>;
-
-    //! As `changedSince`, with those records of which only the hub in use changed, to `hub`.
-    [[nodiscard]] auto changedOrReportingTo(const base::node_id &hub,
-                                            const directory_cursor &readerCursor) const
+    //! As `changedSince`, with those records of which only the hub in use changed and that
+    //! `isWanted` selects, and without those that `reader` sent unless it has no position here.
+    [[nodiscard]] auto changedOrWanted(const record_filter &isWanted, const base::node_id &reader,
+                                       const directory_cursor &readerCursor) const
             -> std::vector<node_record>;
 
     //! Returns the records of the live hubs of a region.
@@ -74,6 +76,8 @@
         std::uint64_t changeNumber = 0;
         //! Number of the last change of anything but the hub in use.
         std::uint64_t contentChangeNumber = 0;
+        //! Node that sent exactly this record; empty if it is put together here.
+        base::node_id source;
     };
 
     template <typename Predicate>
@@ -90,7 +94,7 @@
         return changes;
     }
 
-    auto store(numbered_record &stored, node_record record) -> void;
+    auto store(numbered_record &stored, node_record record, const base::node_id &source) -> void;
 
     [[nodiscard]] auto lastChangeReadBy(const directory_cursor &reader) const -> std::uint64_t
     {
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -112,8 +112,8 @@
     auto setCrashRecords(std::vector<base::crash_record> records) -> void;
 
     //! Raises the generation of the node's own record above that of `record`, which a former
-    //! process of the node sent before the host's clock was set back. No effect if `record` is
-    //! older.
+    //! process of the node sent before the host's clock was set back, or its sequence if a hub has
+    //! changed the record. No effect if `record` is older.
     auto supersede(const node_record &record) -> void;
 
     //! Replaces the nodes that may be hubs.
@@ -182,6 +182,9 @@
     bool m_isAwaitingAnswer = false;
     //! Consecutive reports to `m_hub` without an answer.
     int m_unansweredReports = 0;
+    //! Version of the own record that `m_hub` holds by its last answer; reports leave the record
+    //! out while it is this one.
+    std::optional<record_version> m_heldRecord;
     //! Hubs that failed since the last answer of the hub in use.
     int m_failedHubCount = 0;
     bool m_usesDeputy = false;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -5,7 +5,9 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <cmath>
 #include <memory>
+#include <set>
 #include <sys/resource.h>
 
 using namespace hawthornpick;
@@ -23,13 +25,14 @@
     return fleet::nodeIdOf(endpointOf(index));
 }
 
-auto makeRecord(int index, bool isHub) -> fleet::node_record
+auto makeRecord(int index, bool isHub, int regionCount = 2) -> fleet::node_record
 {
     fleet::node_record record;
     record.entry.id = nodeIdOf(index);
     record.entry.peerAddress = endpointOf(index);
-    record.entry.region = base::region_id(index % 2 == 0 ? "r0" : "r1");
-    record.entry.failureDomain = base::failure_domain_id("d" + std::to_string(index % 4));
+    record.entry.region = base::region_id("r" + std::to_string(index % regionCount));
+    record.entry.failureDomain =
+            base::failure_domain_id("d" + std::to_string(index % (2 * regionCount)));
     record.generation = 1;
     record.isHub = isHub;
     return record;
@@ -90,14 +93,23 @@
     std::string disk;
 };
 
-//! Nodes in a virtual network; the first `hubCount` of them are hubs. Even and odd nodes are in
-//! different regions; nodes whose indices are equal modulo 4 share a failure domain.
+//! Payload bytes that were delivered, by the place of the receiver.
+struct distance_bytes
+{
+    double ownDomain = 0.0;
+    double ownRegion = 0.0;
+    double otherRegion = 0.0;
+};
+
+//! Nodes in a virtual network; the first `hubCount` of them are hubs. Nodes whose indices are equal
+//! modulo the number of regions share a region, and modulo twice that number a failure domain.
 class directory_fleet
 {
 public:
     //! `contacts` are the hubs that all nodes know at their start.
-    directory_fleet(int nodeCount, int hubCount, const std::vector<int> &contacts = {0, 1, 2})
-        : m_network(11, {0.02, 0.02}), m_nodes(nodeCount)
+    directory_fleet(int nodeCount, int hubCount, const std::vector<int> &contacts = {0, 1, 2},
+                    int regionCount = 2)
+        : m_network(11, {0.02, 0.02}), m_regionCount(regionCount), m_nodes(nodeCount)
     {
         for (const int contact : contacts) {
             m_contacts.push_back(nodeIdOf(contact));
@@ -111,7 +123,7 @@
     auto startNode(int index, bool isHub, std::uint64_t generation) -> void
     {
         auto &node = m_nodes.at(index);
-        auto record = makeRecord(index, isHub);
+        auto record = makeRecord(index, isHub, m_regionCount);
         record.generation = generation;
         fleet::reporter_callbacks callbacks;
         callbacks.onView = [&node](membership::view_pointer view) {
@@ -202,6 +214,12 @@
 
     auto interRegionBytes() const -> std::size_t { return m_interRegionBytes; }
 
+    auto deliveredBytes() const -> const distance_bytes & { return m_deliveredBytes; }
+
+    //! Hubs that sent a request to another region since `clearAskers`, by the two regions.
+    auto askers() const -> const std::map<std::string, std::set<int>> & { return m_askers; }
+    auto clearAskers() -> void { m_askers.clear(); }
+
     auto publish(int hub, base::config_version version) -> void
     {
         auto out = node(hub).hub->publish({version, "content"}, m_network.now());
@@ -254,15 +272,11 @@
     auto attach(int index) -> void
     {
         auto &node = m_nodes.at(index);
-        const auto region = makeRecord(index, false).entry.region;
-        const auto receive = [this, &node, region](const base::node_id &from,
-                                                   base::channel /*kind*/, std::string_view payload,
-                                                   base::time_point now) {
-            if (regionOf(from) != region) {
-                ++m_interRegionMessageCount;
-                m_interRegionBytes += payload.size();
-            }
+        const auto place = makeRecord(index, false, m_regionCount).entry;
+        const auto receive = [this, &node, place](const base::node_id &from, base::channel /*kind*/,
+                                                  std::string_view payload, base::time_point now) {
             const auto content = fleet::decodeMessage(payload);
+            countDelivered(placeOf(from), place, payload.size(), fleet::kindName(*content));
             auto out = node.reporter->receive(from, *content, now);
             auto hubMessages = node.hub ? node.hub->receive(from, *content, now)
                                         : node.deputy->receive(from, *content, now);
@@ -283,17 +297,41 @@
         m_network.attach(nodeIdOf(index), receive, tick);
     }
 
-    auto regionOf(const base::node_id &id) const -> base::region_id
+    auto indexOf(const base::node_id &id) const -> int
     {
-        for (int i = 0; i < static_cast<int>(m_nodes.size()); ++i) {
-            if (nodeIdOf(i) == id) {
-                return makeRecord(i, false).entry.region;
-            }
+        int index = 0;
+        while (nodeIdOf(index) != id) {
+            ++index;
+        }
+        return index;
+    }
+
+    auto placeOf(const base::node_id &id) const -> membership::node_entry
+    {
+        return makeRecord(indexOf(id), false, m_regionCount).entry;
+    }
+
+    auto countDelivered(const membership::node_entry &from, const membership::node_entry &to,
+                        std::size_t bytes, std::string_view kind) -> void
+    {
+        if (from.region == to.region) {
+            const bool isOwnDomain = from.failureDomain == to.failureDomain;
+            (isOwnDomain ? m_deliveredBytes.ownDomain : m_deliveredBytes.ownRegion) +=
+                    static_cast<double>(bytes);
+            return;
+        }
+        ++m_interRegionMessageCount;
+        m_interRegionBytes += bytes;
+        m_deliveredBytes.otherRegion += static_cast<double>(bytes);
+        if (kind == "sync_request") {
+            m_askers[from.region.str() + to.region.str()].insert(indexOf(from.id));
         }
-        return {};
     }
 
     testsupport::virtual_network m_network;
+    int m_regionCount;
+    distance_bytes m_deliveredBytes;
+    std::map<std::string, std::set<int>> m_askers;
     int m_interRegionMessageCount = 0;
     std::size_t m_interRegionBytes = 0;
     std::vector<directory_node> m_nodes;
@@ -617,6 +655,301 @@
     CHECK(fleet.interRegionMessageCount() - countBefore <= 20 * 8 * 2);
 }
 
+namespace {
+
+constexpr int TRAFFIC_HUBS = 11;
+constexpr int TRAFFIC_NODES = 70;
+constexpr int TRAFFIC_REGIONS = 3;
+//! Bytes a second that `whatCrossesRegionsCrossesOnce` measured before hubs left other regions to
+//! gateways.
+constexpr double IDLE_CROSSING_WITHOUT_GATEWAYS = 48'080.0;
+constexpr double CHANGING_CROSSING_WITHOUT_GATEWAYS = 52'896.0;
+//! A tick until the report, two exchanges between hubs, and the report of another node; and the
+//! resolution of the measurement.
+constexpr milliseconds MAX_SPREAD_TIME = milliseconds(50) + 2 * fleet::hub::SYNC_INTERVAL
+                                         + fleet::reporter::REPORT_INTERVAL + milliseconds(50);
+//! A hub that doesn't answer another region was replaced in this time before there were gateways.
+constexpr milliseconds MAX_FAILOVER_TIME =
+        MAX_SPREAD_TIME + (fleet::hub::MAX_UNANSWERED_REQUESTS + 1) * fleet::hub::SYNC_INTERVAL;
+
+//! A fleet in three regions, with usage of many organisations, most of it seldom.
+class traffic_fleet : public directory_fleet
+{
+public:
+    traffic_fleet() : directory_fleet(TRAFFIC_NODES, TRAFFIC_HUBS, {0, 1, 2}, TRAFFIC_REGIONS)
+    {
+        network().setFaults({});
+        for (int i = TRAFFIC_HUBS; i < TRAFFIC_NODES; ++i) {
+            for (int organisation = 0; organisation < 20; ++organisation) {
+                node(i).usage[organisationOf(organisation)] = {0.25 + 0.01 * organisation, 1.0};
+            }
+            node(i).reporter->setUpstreams({makeUpstream("10.0.0.1:7000/i-" + std::to_string(i))});
+        }
+        run(milliseconds(6000));
+    }
+
+    //! Changes the usage of some organisations at each of `count` nodes.
+    auto changeUsage(int count) -> void
+    {
+        for (int i = 0; i < count; ++i) {
+            auto &changed =
+                    node(TRAFFIC_HUBS
+                         + static_cast<int>(m_usageRandom.below(TRAFFIC_NODES - TRAFFIC_HUBS)));
+            for (int step = 0; step < 5; ++step) {
+                const auto organisation = organisationOf(static_cast<int>(m_usageRandom.below(20)));
+                auto &usage = changed.usage[organisation];
+                usage = {0.2 + 0.01 * static_cast<double>(m_usageRandom.below(100)),
+                         static_cast<double>(m_usageRandom.below(5))};
+                changed.changedUsage[organisation] = usage;
+            }
+        }
+    }
+
+    //! Bytes a second that were delivered in ten seconds with `changesPerStep` nodes whose usage
+    //! changes in each 100 ms.
+    auto measure(int changesPerStep) -> distance_bytes
+    {
+        const auto before = deliveredBytes();
+        for (int step = 0; step < 100; ++step) {
+            changeUsage(changesPerStep);
+            run(milliseconds(100));
+        }
+        const auto &after = deliveredBytes();
+        return {(after.ownDomain - before.ownDomain) / 10.0,
+                (after.ownRegion - before.ownRegion) / 10.0,
+                (after.otherRegion - before.otherRegion) / 10.0};
+    }
+
+    //! Publishes a new upstream beside a node and returns the time until all nodes but `without`
+    //! know it.
+    auto timeToReachAll(int from, const std::set<int> &without = {}) -> milliseconds
+    {
+        const auto name = base::upstream_id("probe-" + std::to_string(++m_probeCount));
+        node(from).reporter->setUpstreams({makeUpstream(name.str())});
+        const auto isKnownAt = [&](int index) {
+            const auto places = node(index).view->upstreamsOf(base::service_id("s"));
+            return std::any_of(places.begin(), places.end(),
+                               [&](const auto &place) { return place.upstream->id == name; });
+        };
+        milliseconds elapsed{0};
+        for (int i = TRAFFIC_HUBS; i < TRAFFIC_NODES && elapsed < milliseconds(30'000);) {
+            if (without.contains(i) || isKnownAt(i)) {
+                ++i;
+                continue;
+            }
+            run(milliseconds(10));
+            elapsed += milliseconds(10);
+        }
+        return elapsed;
+    }
+
+    //! Returns the hub of `region` that asks `other`, or -1 if none or several do.
+    auto gatewayOf(int region, int other) -> int
+    {
+        clearAskers();
+        run(milliseconds(600));
+        const auto found =
+                askers().find("r" + std::to_string(region) + "r" + std::to_string(other));
+        return found == askers().end() || found->second.size() != 1 ? -1 : *found->second.begin();
+    }
+
+    //! Entry nodes that report to a hub.
+    auto nodesOf(int hub) -> std::set<int>
+    {
+        std::set<int> nodes;
+        for (int i = TRAFFIC_HUBS; i < TRAFFIC_NODES; ++i) {
+            if (node(i).currentHub == nodeIdOf(hub)) {
+                nodes.insert(i);
+            }
+        }
+        return nodes;
+    }
+
+    //! Returns an entry node of a region that doesn't report to `hub`.
+    auto nodeOf(int region, int hub) -> int
+    {
+        const auto excluded = nodesOf(hub);
+        int index = TRAFFIC_HUBS;
+        while (index % TRAFFIC_REGIONS != region || excluded.contains(index)) {
+            ++index;
+        }
+        return index;
+    }
+
+    auto cutRegion(int region) -> void
+    {
+        for (int i = 0; i < TRAFFIC_NODES; ++i) {
+            for (int j = 0; j < TRAFFIC_NODES; ++j) {
+                if (i % TRAFFIC_REGIONS == region && j % TRAFFIC_REGIONS != region) {
+                    network().cut(nodeIdOf(i), nodeIdOf(j));
+                    network().cut(nodeIdOf(j), nodeIdOf(i));
+                }
+            }
+        }
+    }
+
+    //! Checks that each node knows the usage of all nodes and that no hub counts as dead.
+    auto checkKnowsAll() -> void
+    {
+        for (int organisation = 0; organisation < 20; ++organisation) {
+            double demand = 0.0;
+            for (int i = TRAFFIC_HUBS; i < TRAFFIC_NODES; ++i) {
+                demand += node(i).usage[organisationOf(organisation)].demand;
+            }
+            for (int i = TRAFFIC_HUBS; i < TRAFFIC_NODES; ++i) {
+                DOUBLES_EQUAL(demand, node(i).totals[organisationOf(organisation)].demand, 0.3);
+                DOUBLES_EQUAL(1.0, node(i).coverage, 1e-9);
+            }
+        }
+        for (int i = 0; i < TRAFFIC_NODES; ++i) {
+            for (int hub = 0; hub < TRAFFIC_HUBS; ++hub) {
+                const auto *record = node(i).reporter->records().find(nodeIdOf(hub));
+                CHECK(record != nullptr && record->isAliveHub());
+            }
+        }
+    }
+
+    static auto organisationOf(int index) -> base::organisation_id
+    {
+        return base::organisation_id("organisation-" + std::to_string(index));
+    }
+
+private:
+    int m_probeCount = 0;
+    base::random_source m_usageRandom{3};
+};
+
+auto print(const char *name, const distance_bytes &bytes) -> void
+{
+    UT_PRINT((std::string(name) + ": bytes a second to the own domain "
+              + std::to_string(std::lround(bytes.ownDomain)) + ", the own region "
+              + std::to_string(std::lround(bytes.ownRegion)) + ", other regions "
+              + std::to_string(std::lround(bytes.otherRegion)))
+                     .c_str());
+}
+
+} // namespace
+
+// Guards against control traffic that crosses regions again and again.
+TEST(directory, whatCrossesRegionsCrossesOnce)
+{
+    traffic_fleet fleet;
+    const auto idle = fleet.measure(0);
+    print("unchanged usage", idle);
+    const auto changing = fleet.measure(20);
+    print("changing usage", changing);
+    // Half of what crossed when each hub asked each other region.
+    CHECK(idle.otherRegion <= IDLE_CROSSING_WITHOUT_GATEWAYS / 2.0);
+    CHECK(changing.otherRegion <= CHANGING_CROSSING_WITHOUT_GATEWAYS / 2.0);
+    fleet.run(milliseconds(3000));
+    fleet.checkKnowsAll();
+}
+
+// Guards against an upstream that becomes known, or is known to leave, later than with an exchange
+// between each hub and the other regions.
+TEST(directory, changesReachAllNodesWithinTheIntervals)
+{
+    traffic_fleet fleet;
+    for (int probe = 0; probe < 12; ++probe) {
+        fleet.run(milliseconds(37 * probe));
+        CHECK_COMPARE(fleet.timeToReachAll(TRAFFIC_HUBS + 5 * probe).count(), <=,
+                      MAX_SPREAD_TIME.count());
+    }
+}
+
+// Guards against a region that learns nothing while its gateway is dead, paused, or cut off from
+// the other hubs of its region, from the other region, or from both, in one direction.
+TEST(directory, failedGatewayIsReplaced)
+{
+    enum class fault { Crash, Pause, CutFromPeers, CutToRegion, CutFromRegion };
+    for (const auto kind : {fault::Crash, fault::Pause, fault::CutFromPeers, fault::CutToRegion,
+                            fault::CutFromRegion}) {
+        traffic_fleet fleet;
+        const int gateway = fleet.gatewayOf(0, 1);
+        CHECK(gateway >= 0);
+        const auto id = nodeIdOf(gateway);
+        const int from = fleet.nodeOf(1, gateway);
+        if (kind == fault::Crash) {
+            fleet.network().crash(id);
+        } else if (kind == fault::Pause) {
+            fleet.network().pause(id);
+        }
+        for (int hub = 0; hub < TRAFFIC_HUBS; ++hub) {
+            if (kind == fault::CutFromPeers && hub % TRAFFIC_REGIONS == 0) {
+                fleet.network().cut(id, nodeIdOf(hub));
+            } else if (kind == fault::CutToRegion && hub % TRAFFIC_REGIONS == 1) {
+                fleet.network().cut(id, nodeIdOf(hub));
+            } else if (kind == fault::CutFromRegion && hub % TRAFFIC_REGIONS == 1) {
+                fleet.network().cut(nodeIdOf(hub), id);
+            }
+        }
+        const auto name = "fault " + std::to_string(static_cast<int>(kind));
+        const auto time = fleet.timeToReachAll(from, fleet.nodesOf(gateway));
+        CHECK_TEXT(time <= MAX_FAILOVER_TIME, (name + ": " + std::to_string(time.count())).c_str());
+        // Also while the fault lasts.
+        fleet.run(milliseconds(4000));
+        const auto later = fleet.timeToReachAll(from, fleet.nodesOf(gateway));
+        CHECK_TEXT(later <= MAX_SPREAD_TIME, (name + ": " + std::to_string(later.count())).c_str());
+        fleet.network().healAll();
+        fleet.network().resume(id);
+        if (kind == fault::Crash) {
+            fleet.startNode(gateway, true, 2);
+        }
+        fleet.run(milliseconds(4000));
+        CHECK_EQUAL_TEXT(gateway, fleet.gatewayOf(0, 1), name.c_str());
+        fleet.checkKnowsAll();
+    }
+}
+
+// Guards against a region that stays apart after it was cut off, or whose hubs all restarted.
+TEST(directory, regionReturnsAfterACutAndAfterARestartOfItsHubs)
+{
+    traffic_fleet fleet;
+    fleet.cutRegion(2);
+    fleet.run(milliseconds(25'000));
+    fleet.network().healAll();
+    CHECK_COMPARE(fleet.timeToReachAll(TRAFFIC_HUBS).count(), <=, MAX_FAILOVER_TIME.count());
+    fleet.run(milliseconds(3000));
+    fleet.checkKnowsAll();
+    for (int hub = 1; hub < TRAFFIC_HUBS; hub += TRAFFIC_REGIONS) {
+        fleet.startNode(hub, true, 2);
+    }
+    fleet.run(milliseconds(5000));
+    CHECK_COMPARE(fleet.timeToReachAll(TRAFFIC_HUBS).count(), <=, MAX_SPREAD_TIME.count());
+    fleet.checkKnowsAll();
+    CHECK(fleet.gatewayOf(1, 0) >= 0);
+}
+
+// Guards against hubs that count as dead 20 s after they stopped reporting to another hub, which
+// learned of that by another message than it waited for; and against nodes that don't count as
+// dead because their hub restarted.
+TEST(directory, hubsThatMoveStayAlive)
+{
+    traffic_fleet fleet;
+    for (int second = 0; second < 60; ++second) {
+        for (int hub = 0; hub < TRAFFIC_HUBS; ++hub) {
+            fleet.node(hub).isFresh = second > 20 || hub % 4 == second % 4;
+        }
+        fleet.run(milliseconds(1000));
+        for (int hub = 0; hub < TRAFFIC_HUBS; ++hub) {
+            const auto *record =
+                    fleet.node(TRAFFIC_NODES - 1).reporter->records().find(nodeIdOf(hub));
+            CHECK(record->isAliveHub());
+        }
+    }
+    const auto lostNode = nodeIdOf(TRAFFIC_NODES - 2);
+    const auto hub = fleet.node(TRAFFIC_NODES - 2).currentHub;
+    fleet.network().crash(lostNode);
+    for (int i = 0; i < TRAFFIC_HUBS; ++i) {
+        if (nodeIdOf(i) == hub) {
+            fleet.startNode(i, true, 2);
+        }
+    }
+    fleet.run(fleet::hub::NODE_TIMEOUT + milliseconds(5000));
+    CHECK(fleet.node(TRAFFIC_HUBS).reporter->records().find(lostNode)->entry.state
+          == membership::node_state::Dead);
+}
+
 // Guards against a node that loses the directory or its configuration version while all hubs are
 // down.
 TEST(directory, keepsDirectoryAndVersionWhileAllHubsAreDown)
