app: count control and body bytes by distance

Metrics told only whether a control message left the region, and nothing about bodies.

Control bytes are counted, and logged in one line a kind, for the own failure domain, the rest of the region and other regions; bodies exchanged with other nodes by the same distances. Of a request body that is streamed, only the part that was there at the start of the attempt is counted.

--- a/src/app/internal/meshcontrol.cpp
+++ b/src/app/internal/meshcontrol.cpp
@@ -252,10 +252,11 @@
 auto mesh_control::countSent(const base::outgoing_message &message) -> void
 {
     const auto *receiver = m_reporter.records().find(message.to);
-    const bool isToOtherRegion =
-            receiver != nullptr && receiver->entry.region != m_reporter.self().entry.region;
+    const auto distance = receiver == nullptr
+                                  ? traffic_distance::OwnRegion
+                                  : distanceBetween(m_reporter.self().entry, receiver->entry);
     const auto kind = message.kindName.empty() ? std::string_view("quorum") : message.kindName;
-    m_traffic.countSent(kind, isToOtherRegion, message.payload.size());
+    m_traffic.countSent(kind, distance, message.payload.size());
 }
 
 auto mesh_control::tick(base::time_point now) -> messages
--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -2,6 +2,7 @@
 
 #include "app/internal/crashcontrol.h"
 #include "app/internal/decisionlog.h"
+#include "app/internal/forwardedtraffic.h"
 #include "app/internal/meshcontrol.h"
 #include "app/internal/peeracceptor.h"
 #include "app/internal/upstreamhealth.h"
@@ -88,6 +89,15 @@
             settings.failureDomain};
 }
 
+auto placeOf(const config::mesh_settings &settings) -> membership::node_entry
+{
+    membership::node_entry place;
+    place.id = fleet::nodeIdOf({settings.address, settings.peerPort});
+    place.region = settings.region;
+    place.failureDomain = settings.failureDomain;
+    return place;
+}
+
 } // namespace
 
 class mesh_node_state
@@ -96,7 +106,7 @@
     mesh_node_state(asio::io_context &context, const config::mesh_settings &settings,
                     mesh_adapter adapter)
         : m_context(context), m_settings(settings), m_adapter(std::move(adapter)),
-          m_identity(identityOf(settings)),
+          m_identity(identityOf(settings)), m_forwardedTraffic(m_metrics, placeOf(settings)),
           m_configuration(std::make_shared<const config::snapshot>()),
           m_membershipView(std::make_shared<const membership::view>()),
           m_placement(placementSettings(settings), base::systemSeed()),
@@ -477,6 +487,8 @@
         const auto now = base::clock::now();
         m_placement.onAttemptEnd(report.chosen.id, report.service, report.failure, report.load,
                                  now);
+        m_forwardedTraffic.countAttempt(m_membershipView.load()->find(report.chosen.id),
+                                        report.requestBodyBytes, report.responseBodyBytes);
         const bool isCancelled = report.failure == base::error_kind::CallerGone;
         if (report.failure && !isCancelled) {
             m_log.write(log_event::AttemptFailed, now,
@@ -660,6 +672,7 @@
     mesh_adapter m_adapter;
     peer::link_identity m_identity;
     base::metrics m_metrics;
+    forwarded_traffic m_forwardedTraffic;
     bool m_isDraining = false;
     std::optional<base::time_point> m_drainStartTime;
     //! Time of the last stop signal.
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -73,6 +73,9 @@
     //! Number of response body bytes received.
     std::size_t responseBodyBytes = 0;
     bool idempotent = false;
+    //! Number of request body bytes that were there when the attempt started; the rest of a body
+    //! that is streamed isn't counted.
+    std::size_t requestBodyBytes = 0;
 };
 
 //! Rules for retries and parallel attempts of one request.
--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -127,7 +127,8 @@
             attempt.request.requestId,
             attempt.response.status(),
             attempt.response.bodyBytes(),
-            attempt.request.idempotent};
+            attempt.request.idempotent,
+            attempt.request.body.size()};
 }
 
 // Reports the attempt to the hooks at its end, also if it was cancelled.
