--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -874,12 +874,11 @@
         } else if (kind == fault::Pause) {
             fleet.network().pause(id);
         }
-        for (int hub = 0; hub < TRAFFIC_HUBS; ++hub) {
-            if (kind == fault::CutFromPeers && hub % TRAFFIC_REGIONS == 0) {
-                fleet.network().cut(id, nodeIdOf(hub));
-            } else if (kind == fault::CutToRegion && hub % TRAFFIC_REGIONS == 1) {
+        const int cutRegion = kind == fault::CutFromPeers ? 0 : 1;
+        for (int hub = cutRegion; hub < TRAFFIC_HUBS; hub += TRAFFIC_REGIONS) {
+            if (kind == fault::CutFromPeers || kind == fault::CutToRegion) {
                 fleet.network().cut(id, nodeIdOf(hub));
-            } else if (kind == fault::CutFromRegion && hub % TRAFFIC_REGIONS == 1) {
+            } else if (kind == fault::CutFromRegion) {
                 fleet.network().cut(nodeIdOf(hub), id);
             }
         }
