--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -89,10 +89,57 @@
     bool hasCompleteDirectory = false;
     bool isFresh = true;
     int lateAnswerCount = 0;
+    //! True for a hub that runs the version before gateways.
+    bool isFormer = false;
     //! File of departures, which outlives restarts.
     std::string disk;
 };
 
+//! Takes from a message what the version before gateways didn't know; returns nothing for one that
+//! it couldn't read.
+struct former_version
+{
+    using result = std::optional<fleet::message>;
+
+    auto operator()(fleet::report content) const -> result
+    {
+        return content.senderVersion ? std::nullopt : result(content);
+    }
+    auto operator()(fleet::report_answer content) const -> result
+    {
+        content.stored.reset();
+        return content;
+    }
+    auto operator()(fleet::sync_request content) const -> result
+    {
+        if (content.senderVersion) {
+            return std::nullopt;
+        }
+        return fleet::sync_request{content.sender,
+                                   content.cursor,
+                                   {content.localUsages.usages},
+                                   content.localNodeCount};
+    }
+    auto operator()(fleet::sync_answer content) const -> result
+    {
+        fleet::sync_answer known{content.cursor, content.records, std::nullopt,
+                                 content.regionNodeCount, content.isDirectoryComplete};
+        if (content.regionUsages) {
+            known.regionUsages = fleet::usage_changes{content.regionUsages->usages};
+        }
+        return known;
+    }
+    auto operator()(fleet::usage_update content) const -> result
+    {
+        return fleet::usage_update{{content.usages.usages}, content.isFromHub};
+    }
+    template <typename Content>
+    auto operator()(Content content) const -> result
+    {
+        return content;
+    }
+};
+
 //! Payload bytes that were delivered, by the place of the receiver.
 struct distance_bytes
 {
@@ -275,13 +322,19 @@
         const auto place = makeRecord(index, false, m_regionCount).entry;
         const auto receive = [this, &node, place](const base::node_id &from, base::channel /*kind*/,
                                                   std::string_view payload, base::time_point now) {
-            const auto content = fleet::decodeMessage(payload);
+            auto content = fleet::decodeMessage(payload);
             countDelivered(placeOf(from), place, payload.size(), fleet::kindName(*content));
+            if (node.isFormer) {
+                content = std::visit(former_version{}, *content);
+            }
+            if (!content) {
+                return std::vector<base::outgoing_message>();
+            }
             auto out = node.reporter->receive(from, *content, now);
             auto hubMessages = node.hub ? node.hub->receive(from, *content, now)
                                         : node.deputy->receive(from, *content, now);
             out.insert(out.end(), hubMessages.begin(), hubMessages.end());
-            return out;
+            return asSentBy(node, std::move(out));
         };
         const auto tick = [&node](base::time_point now) {
             auto out = node.reporter->tick(now);
@@ -292,11 +345,23 @@
                 auto answers = node.hub->onDeparturesWritten(write->revision);
                 out.insert(out.end(), answers.begin(), answers.end());
             }
-            return out;
+            return asSentBy(node, std::move(out));
         };
         m_network.attach(nodeIdOf(index), receive, tick);
     }
 
+    static auto asSentBy(const directory_node &node, std::vector<base::outgoing_message> messages)
+            -> std::vector<base::outgoing_message>
+    {
+        for (auto &item : messages) {
+            const auto content = std::visit(former_version{}, *fleet::decodeMessage(item.payload));
+            if (node.isFormer && content) {
+                item.payload = fleet::encodeMessage(*content);
+            }
+        }
+        return messages;
+    }
+
     auto indexOf(const base::node_id &id) const -> int
     {
         int index = 0;
@@ -919,6 +984,27 @@
     CHECK(fleet.gatewayOf(1, 0) >= 0);
 }
 
+// Guards against hubs of two versions that don't understand each other, and against what a hub
+// loses that goes back to the former version.
+TEST(directory, hubsOfTheFormerVersionTakePart)
+{
+    traffic_fleet fleet;
+    for (const int firstFormer : {0, 4, 11}) {
+        for (int hub = 0; hub < TRAFFIC_HUBS; ++hub) {
+            const bool isFormer = hub >= firstFormer;
+            if (std::exchange(fleet.node(hub).isFormer, isFormer) != isFormer) {
+                fleet.startNode(hub, true, 2 + static_cast<std::uint64_t>(firstFormer));
+            }
+        }
+        fleet.run(milliseconds(6000));
+        for (int probe = 0; probe < 6; ++probe) {
+            CHECK_COMPARE(fleet.timeToReachAll(TRAFFIC_HUBS + 7 * probe).count(), <=,
+                          MAX_SPREAD_TIME.count());
+        }
+        fleet.checkKnowsAll();
+    }
+}
+
 // Guards against hubs that count as dead 20 s after they stopped reporting to another hub, which
 // learned of that by another message than it waited for; and against nodes that don't count as
 // dead because their hub restarted.
