Add a queue that orders waiting requests by cost of refusal

Cause: rank moves a waiting request by 60 ms only, the queue knows no organisations, and its events scan everything that waits.

--- a/src/caller/internal/entry.cpp
+++ b/src/caller/internal/entry.cpp
@@ -1,6 +1,7 @@
 #include "caller/internal/entry.h"
 
 #include "base/digest.h"
+#include "config/priority.h"
 #include "upstream/headerrules.h"
 
 #include <algorithm>
@@ -25,8 +26,6 @@
 // Start of a body that enters the fingerprint.
 constexpr std::size_t MAX_FINGERPRINT_BODY_BYTES = 64UL * 1024;
 constexpr std::size_t MAX_REQUEST_ID_BYTES = 128;
-// Number of route priorities within one priority of an organisation.
-constexpr std::uint32_t ROUTE_PRIORITY_COUNT = 4;
 constexpr std::size_t MAX_IDEMPOTENCY_KEY_BYTES = 256;
 
 // Time within which the configuration of a node in touch with the controllers is confirmed.
@@ -469,13 +468,9 @@
     m_request.priority = priority();
 }
 
-// The priority of the organisation takes precedence over that of the route.
 auto request_handler::priority() const -> std::uint32_t
 {
-    const auto *organisation = m_snapshot->organisationById(m_request.organisation);
-    const auto organisationPriority = organisation == nullptr ? 0 : organisation->priority;
-    return organisationPriority * ROUTE_PRIORITY_COUNT
-           + std::min(m_route->priority, ROUTE_PRIORITY_COUNT - 1);
+    return config::priorityRank(m_snapshot->organisationById(m_request.organisation), *m_route);
 }
 
 auto request_handler::forward() -> asio::awaitable<optional_refusal>
--- a/src/policy/slotqueue.h
+++ b/src/policy/slotqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "policy/costqueue.h"
 #include "policy/fairqueue.h"
 #include "policy/urgencyqueue.h"
 
@@ -14,6 +15,8 @@
     FairShare,
     //! Earliest start deadline first; see `urgency_queue`.
     Urgency,
+    //! Lowest cost of a refusal last; see `cost_queue`.
+    Cost,
 };
 
 //! Slots and waiting requests of one service on one node, served in the given order.
@@ -27,16 +30,25 @@
         if (auto *queue = std::get_if<urgency_queue>(&m_queue)) {
             return visitor(*queue);
         }
+        if (auto *queue = std::get_if<cost_queue>(&m_queue)) {
+            return visitor(*queue);
+        }
         return visitor(std::get<fair_queue>(m_queue));
     }
 
 public:
     slot_queue(queue_order order, std::uint32_t queuePerSlot)
     {
-        if (order == queue_order::Urgency) {
-            m_queue.emplace<urgency_queue>(queuePerSlot);
-        } else {
+        switch (order) {
+        case queue_order::FairShare:
             m_queue.emplace<fair_queue>(queuePerSlot);
+            break;
+        case queue_order::Urgency:
+            m_queue.emplace<urgency_queue>(queuePerSlot);
+            break;
+        case queue_order::Cost:
+            m_queue.emplace<cost_queue>(queuePerSlot);
+            break;
         }
     }
 
@@ -85,9 +97,15 @@
                 },
                 m_queue);
     }
+    //! Returns counts of refusals; all are 0 for other orders than `queue_order::Cost`.
+    [[nodiscard]] auto refusals() const -> refusal_counts
+    {
+        const auto *queue = std::get_if<cost_queue>(&m_queue);
+        return queue == nullptr ? refusal_counts{} : queue->refusals();
+    }
 
 private:
-    std::variant<std::monostate, fair_queue, urgency_queue> m_queue;
+    std::variant<std::monostate, fair_queue, urgency_queue, cost_queue> m_queue;
 };
 
 } // namespace hawthornpick::policy
