Order by cost of refusal and refuse excluded ranks at the entry

Cause: with order = cost nothing read the setting, and an entry node learned that a service is full by a round trip for each request.

Change: the mesh node uses the cost queue, app::overload_control keeps the admission levels of upstreams for a second and refuses first attempts in proportion to the upstreams that exclude the rank, and Retry-After follows the planned return.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -3,15 +3,18 @@
 #include "app/internal/crashcontrol.h"
 #include "app/internal/decisionlog.h"
 #include "app/internal/meshcontrol.h"
+#include "app/internal/overloadcontrol.h"
 #include "app/internal/peeracceptor.h"
 #include "app/internal/upstreamhealth.h"
 #include "base/log.h"
 #include "base/random.h"
 #include "caller/callerserver.h"
+#include "config/priority.h"
 #include "limits/fleetratelimiter.h"
 #include "policy/callratio.h"
 #include "policy/placement.h"
 #include "policy/repeatbudget.h"
+#include "policy/returntime.h"
 #include "policy/servicesplit.h"
 #include "status/statusserver.h"
 #include "upstream/upstreamservice.h"
@@ -100,7 +103,8 @@
           m_configuration(std::make_shared<const config::snapshot>()),
           m_membershipView(std::make_shared<const membership::view>()),
           m_placement(placementSettings(settings), base::systemSeed()),
-          m_upstreamHealth(m_configuration), m_random(base::systemSeed()),
+          m_upstreamHealth(m_configuration), m_overload(m_metrics, base::systemSeed()),
+          m_returnTime(base::systemSeed()), m_random(base::systemSeed()),
           m_serviceSplit(base::systemSeed()),
           m_repeatBudget({settings.repeatShare * REPEAT_SHARE_RATIO, 0.0, settings.repeatWindow}),
           m_rateLimiter({}, base::systemSeed(), base::clock::now()),
@@ -311,10 +315,12 @@
                 m_adapter.wire,
                 {false, false},
                 m_settings.heartbeat * MAX_MISSED_HEARTBEATS,
-                policy::queue_order::Urgency,
+                ordersByCost() ? policy::queue_order::Cost : policy::queue_order::Urgency,
                 upstream::initial_use::Withheld};
     }
 
+    auto ordersByCost() const -> bool { return m_settings.order == config::waiting_order::Cost; }
+
     auto callerDependencies() -> caller::server_dependencies
     {
         return {m_identity.node, m_configuration, m_membershipView, m_upstreams,
@@ -370,7 +376,7 @@
             const auto refusalTime = refusal.kind == base::error_kind::CrashSuspected
                                              ? m_crashControl.retryAfter(request)
                                              : base::milliseconds(0);
-            return std::max(refusalTime, retryAfter(refusal.kind));
+            return std::max(refusalTime, retryAfter(refusal.kind, request));
         };
         hooks.onRequestEnd = [this](const caller::request_report &report) {
             onRequestEnd(report);
@@ -404,15 +410,47 @@
     {
         if (const auto load = m_upstreams.executorOf(0).loadOf(service)) {
             m_placement.onLoad(m_identity.node, service, *load, base::clock::now());
+            recordLevel(m_identity.node, service, *load);
+        }
+    }
+
+    auto recordLevel(const base::node_id &node, const base::service_id &service,
+                     const policy::service_load &load) -> void
+    {
+        if (ordersByCost()) {
+            m_overload.onLoad(node, service, load, base::clock::now());
         }
     }
 
+    auto rankOf(const caller::selection_request &request) const -> std::uint32_t
+    {
+        const auto snapshot = m_configuration.load();
+        const auto *route = config::findRoute(snapshot->set(), request.route);
+        return route == nullptr ? 0
+                                : config::priorityRank(
+                                        snapshot->organisationById(request.organisation), *route);
+    }
+
+    // A request that has been sent to an upstream is not refused for its rank any more.
+    auto checkRank(const caller::selection_request &request) -> base::result<void>
+    {
+        if (!ordersByCost() || request.attemptCount > 0) {
+            return {};
+        }
+        auto reason = m_overload.refusalOf(request.service.id, rankOf(request), base::clock::now());
+        return reason.empty() ? base::result<void>()
+                              : base::fail(base::error_kind::Overloaded, std::move(reason));
+    }
+
     auto select(const caller::selection_request &request) -> base::result<caller::chosen_node>
     {
         if (const auto allowed = m_crashControl.checkSelection(request); !allowed) {
             return tl::unexpected(allowed.error());
         }
         updateOwnLoad(request.service.id);
+        if (const auto admitted = checkRank(request); !admitted) {
+            return tl::unexpected(admitted.error());
+        }
         const auto placed =
                 m_placement.choose(request.view, placementRequest(request), base::clock::now());
         if (!placed) {
@@ -477,6 +515,9 @@
         const auto now = base::clock::now();
         m_placement.onAttemptEnd(report.chosen.id, report.service, report.failure, report.load,
                                  now);
+        if (report.load) {
+            recordLevel(report.chosen.id, report.service, *report.load);
+        }
         const bool isCancelled = report.failure == base::error_kind::CallerGone;
         if (report.failure && !isCancelled) {
             m_log.write(log_event::AttemptFailed, now,
@@ -544,8 +585,12 @@
     // An upstream that refused a single request accepts the next one at once; after other refusals
     // capacity becomes free after about the duration of one request. Random jitter keeps callers
     // that were refused together from retrying together.
-    auto retryAfter(base::error_kind refusal) -> base::milliseconds
+    auto retryAfter(base::error_kind refusal, const caller::selection_request &request)
+            -> base::milliseconds
     {
+        if (const auto planned = plannedReturn(refusal, request)) {
+            return *planned;
+        }
         const bool isTransient = refusal == base::error_kind::UpstreamRefused
                                  || refusal == base::error_kind::RetryBudgetExhausted;
         const auto minimum = isTransient ? MIN_TRANSIENT_RETRY_AFTER : MIN_CAPACITY_RETRY_AFTER;
@@ -554,6 +599,21 @@
                        m_random.below(static_cast<std::uint64_t>(minimum.count() * 2)));
     }
 
+    auto plannedReturn(base::error_kind refusal, const caller::selection_request &request)
+            -> std::optional<base::milliseconds>
+    {
+        const bool lacksRoom =
+                refusal == base::error_kind::QueueFull || refusal == base::error_kind::Overloaded;
+        if (!ordersByCost() || !lacksRoom) {
+            return std::nullopt;
+        }
+        const auto now = base::clock::now();
+        const auto delay = m_returnTime.next(
+                request.service.id, rankOf(request), m_overload.backlogOf(request.service.id, now),
+                request.deadline - now, std::max<std::size_t>(1, m_entryNodeCount), now);
+        return delay ? std::optional(std::chrono::floor<base::milliseconds>(*delay)) : std::nullopt;
+    }
+
     auto hedgeDelay(const caller::selection_request &request) const -> base::duration
     {
         const auto targetLatency = request.targetTime - request.arrival;
@@ -630,6 +690,9 @@
         m_crashControl.tick(now);
         for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
             queue->expire(now);
+            if (ordersByCost()) {
+                m_overload.onOwnQueue(service, *queue);
+            }
         }
         m_expiryTimer.expires_after(EXPIRY_INTERVAL);
         m_expiryTimer.async_wait([this](const boost::system::error_code &error) {
@@ -668,6 +731,8 @@
     base::snapshot_cell<membership::view> m_membershipView;
     policy::placement m_placement;
     upstream_health m_upstreamHealth;
+    overload_control m_overload;
+    policy::return_time m_returnTime;
     policy::latency_model m_latencies;
     base::random_source m_random;
     policy::service_split m_serviceSplit;
