--- a/tests/mesh/meshcaller.cpp
+++ b/tests/mesh/meshcaller.cpp
@@ -42,12 +42,17 @@
     return answer && answer->status == 200;
 }
 
-auto mesh_caller::submitSlowRoute() -> bool
+auto mesh_caller::submitPatch(const std::string &patch) -> bool
 {
     processtest::http_client client(m_fleet.controlAddress(0));
     const auto answer = client.send("PATCH", std::string(messages::CONFIGURATION_PATH),
-                                    messages::changeHeaders(1), messages::slowServicePatch(2));
-    if (!answer || answer->status != 200) {
+                                    messages::changeHeaders(1), patch);
+    return answer && answer->status == 200;
+}
+
+auto mesh_caller::submitSlowRoute() -> bool
+{
+    if (!submitPatch(messages::slowServicePatch(2))) {
         return false;
     }
     const auto end = base::clock::now() + START_LIMIT;
--- a/tests/mesh/meshcaller.h
+++ b/tests/mesh/meshcaller.h
@@ -27,6 +27,9 @@
     //! after 30 s. Precondition: `waitUntilServed` has returned true.
     auto submitSlowRoute() -> bool;
 
+    //! Submits a change of the first configuration. Precondition: as `submitSlowRoute`.
+    auto submitPatch(const std::string &patch) -> bool;
+
     //! Sends a request to a node with an upstream, counted from 0.
     auto sendTo(int edge, const std::string &method, const std::string &target,
                 const std::string &body = {}) -> std::optional<processtest::http_answer>;
--- a/tests/support/meshfleet.cpp
+++ b/tests/support/meshfleet.cpp
@@ -208,6 +208,11 @@
     upstreamBeside(node).sendsHeartbeats = areSent;
 }
 
+auto mesh_fleet::setColdTime(int node, base::milliseconds coldRemaining) -> void
+{
+    upstreamBeside(node).coldMs = coldRemaining.count();
+}
+
 auto mesh_fleet::sendHeartbeat(int node, const std::string &state, std::uint64_t sequenceNo)
         -> unsigned
 {
@@ -271,7 +276,9 @@
         if (startTime == 0 || !upstreamBeside(node).sendsHeartbeats) {
             continue;
         }
-        const auto body = messages::heartbeat("work", {ip(node), UPSTREAM_PORT}, startTime, number);
+        const auto body =
+                messages::heartbeat("work", {ip(node), UPSTREAM_PORT}, startTime, number, "ready",
+                                    8, base::milliseconds(upstreamBeside(node).coldMs));
         (void)webapi::call(controlAddress(node), {"PUT", upstreamPath(node), {}, {}, body},
                            base::milliseconds(200));
     }
--- a/tests/support/meshfleet.h
+++ b/tests/support/meshfleet.h
@@ -65,6 +65,8 @@
 
     //! Sends the regular heartbeats of the upstream beside a node, as at the start, or none.
     auto setHeartbeats(int node, bool areSent) -> void;
+    //! Sets the cold time that the regular heartbeats of the upstream beside a node report.
+    auto setColdTime(int node, base::milliseconds coldRemaining) -> void;
     //! Sends a heartbeat of the upstream beside a node; returns the status of the answer, or 0 if
     //! there is none.
     auto sendHeartbeat(int node, const std::string &state, std::uint64_t sequenceNo) -> unsigned;
@@ -92,6 +94,7 @@
         //! Time of the start, which also names the incarnation; 0 while the upstream is down.
         std::atomic<std::uint64_t> startTime{0};
         std::atomic<bool> sendsHeartbeats{true};
+        std::atomic<std::int64_t> coldMs{0};
     };
 
     [[nodiscard]] auto ip(int node) const -> std::string;
