--- a/tests/mesh/meshcaller.cpp
+++ b/tests/mesh/meshcaller.cpp
@@ -42,6 +42,14 @@
     return answer && answer->status == 200;
 }
 
+auto mesh_caller::submitPatch(const std::string &patch) -> bool
+{
+    processtest::http_client client(m_fleet.controlAddress(0));
+    const auto answer = client.send("PATCH", std::string(messages::CONFIGURATION_PATH),
+                                    messages::changeHeaders(1), patch);
+    return answer && answer->status == 200;
+}
+
 auto mesh_caller::submitSlowRoute() -> bool
 {
     return submitRoute(messages::slowServicePatch(2), "/slow/1");
@@ -54,10 +62,7 @@
 
 auto mesh_caller::submitRoute(const std::string &patch, const std::string &path) -> bool
 {
-    processtest::http_client client(m_fleet.controlAddress(0));
-    const auto answer = client.send("PATCH", std::string(messages::CONFIGURATION_PATH),
-                                    messages::changeHeaders(1), patch);
-    if (!answer || answer->status != 200) {
+    if (!submitPatch(patch)) {
         return false;
     }
     const auto end = base::clock::now() + START_LIMIT;
