--- a/src/app/internal/commandline.cpp
+++ b/src/app/internal/commandline.cpp
@@ -22,6 +22,8 @@
 ABSL_FLAG(std::string, organisation, "", "organisation of the new API key");
 ABSL_FLAG(std::string, removed, "", "controller to remove");
 ABSL_FLAG(std::string, added, "", "controller to add");
+ABSL_FLAG(std::string, domain, "", "failure domain to evacuate");
+ABSL_FLAG(bool, end, false, "end the evacuation instead of starting it");
 ABSL_FLAG(uint64_t, timeout_ms, 30000, "timeout for a response in milliseconds");
 
 namespace hawthornpick::app {
@@ -60,6 +62,8 @@
              runCheck},
             {"apply", "apply a folder of files as one configuration",
              withOperatorFlags({"folder", "change_id", "base_version"}), runApply},
+            {"evacuate", "send no requests to a failure domain until the order is ended",
+             withOperatorFlags({"domain", "end", "change_id"}), runEvacuate},
             {"change", "show the result of a change", withOperatorFlags({"change_id"}), runChange},
             {"status",
              "show the configuration version in force and the state of the replicated log",
@@ -134,6 +138,8 @@
     options.organisation = absl::GetFlag(FLAGS_organisation);
     options.removed = absl::GetFlag(FLAGS_removed);
     options.added = absl::GetFlag(FLAGS_added);
+    options.domain = absl::GetFlag(FLAGS_domain);
+    options.end = absl::GetFlag(FLAGS_end);
     options.timeoutMs = absl::GetFlag(FLAGS_timeout_ms);
     return options;
 }
--- a/src/app/internal/commands.h
+++ b/src/app/internal/commands.h
@@ -24,6 +24,8 @@
     std::string organisation;
     std::string removed;
     std::string added;
+    std::string domain;
+    bool end = false;
     std::uint64_t timeoutMs = 30000;
 
     auto operator<=>(const command_options &) const = default;
@@ -35,6 +37,7 @@
 auto runMesh(const command_options &options, mesh_adapter adapter) -> exit_code;
 auto runCheck(const command_options &options) -> exit_code;
 auto runApply(const command_options &options) -> exit_code;
+auto runEvacuate(const command_options &options) -> exit_code;
 auto runChange(const command_options &options) -> exit_code;
 auto runStatus(const command_options &options) -> exit_code;
 auto runMembers(const command_options &options) -> exit_code;
--- a/src/app/internal/controlplane.cpp
+++ b/src/app/internal/controlplane.cpp
@@ -1,5 +1,6 @@
 #include "app/internal/controlplane.h"
 
+#include "app/internal/evacuationcheck.h"
 #include "base/log.h"
 #include "base/random.h"
 
@@ -400,6 +401,15 @@
     access.view = [this] {
         return m_directory.view().load();
     };
+    access.evacuationRefusal = [this](const base::failure_domain_id &failureDomain, bool starts) {
+        const auto configuration = m_config.load();
+        const evacuation_check check{
+                config::evacuationsOf(configuration->set(), configuration->version()),
+                m_directory.view().load(),
+                {}};
+        const auto refusal = check.refusalOf(failureDomain, starts);
+        return refusal ? refusal->detail : std::string();
+    };
     return access;
 }
 
--- a/src/app/internal/operatorcommands.cpp
+++ b/src/app/internal/operatorcommands.cpp
@@ -155,6 +155,20 @@
                              client->send("POST", "/v1/changes", operators::toJson(submission)));
 }
 
+auto runEvacuate(const command_options &options) -> exit_code
+{
+    const auto client = createClient(options);
+    if (!client || options.domain.empty()) {
+        std::cerr << "hawthornpick evacuate: --domain and --operator_key_file are required\n";
+        return exit_code::Usage;
+    }
+    const auto changeId = options.changeId.empty() ? generateChangeId() : options.changeId;
+    const operators::evacuation_submission submission{
+            changeId, base::failure_domain_id(options.domain), !options.end};
+    return printChangeResult(
+            changeId, client->send("POST", "/v1/evacuations", operators::toJson(submission)));
+}
+
 auto runChange(const command_options &options) -> exit_code
 {
     const auto client = createClient(options);
--- a/src/config/idl/configwire.thrift
+++ b/src/config/idl/configwire.thrift
@@ -66,4 +66,6 @@
   3: list<service_entry> services
   4: list<route_entry> routes
   5: caller_limits limits
+  // Names of failure domains, sorted; left out if there are none.
+  30: optional list<string> evacuations
 }
--- a/src/config/internal/declaration.cpp
+++ b/src/config/internal/declaration.cpp
@@ -50,6 +50,7 @@
         sortById(m_set.keys);
         sortById(m_set.services);
         sortById(m_set.routes);
+        sortById(m_set.evacuations);
         for (auto item : validate(m_set)) {
             addLocation(item);
             m_errors.push_back(std::move(item));
@@ -89,7 +90,7 @@
                      section.name,
                      {},
                      "section is unknown; allowed are `[organisation NAME]`, `[key NAME]`, "
-                     "`[service NAME]` and `[route NAME]`"});
+                     "`[service NAME]`, `[route NAME]` and `[evacuation FAILURE-DOMAIN]`"});
             return;
         }
         if (!isName(id)) {
@@ -121,7 +122,8 @@
 
     static auto isKnownKind(std::string_view kind) -> bool
     {
-        return kind == "organisation" || kind == "key" || kind == "service" || kind == "route";
+        return kind == "organisation" || kind == "key" || kind == "service" || kind == "route"
+               || kind == "evacuation";
     }
 
     auto parseItem(std::string_view kind, const std::string &id, section_reader &reader) -> void
@@ -132,6 +134,8 @@
             m_set.keys.push_back(readKey(id, reader));
         } else if (kind == "service") {
             m_set.services.push_back(readService(id, reader));
+        } else if (kind == "evacuation") {
+            m_set.evacuations.push_back({base::failure_domain_id(id)});
         } else {
             m_set.routes.push_back(readRoute(id, reader));
         }
--- a/src/config/internal/difference.cpp
+++ b/src/config/internal/difference.cpp
@@ -39,6 +39,7 @@
     appendDifferences("key", older.keys, newer.keys, lines);
     appendDifferences("service", older.services, newer.services, lines);
     appendDifferences("route", older.routes, newer.routes, lines);
+    appendDifferences("evacuation", older.evacuations, newer.evacuations, lines);
     return lines;
 }
 
--- a/src/config/internal/model.cpp
+++ b/src/config/internal/model.cpp
@@ -209,6 +209,27 @@
     return findSorted(set.routes, id);
 }
 
+auto evacuationsOf(const config_set &set, base::config_version version) -> base::evacuation_list
+{
+    base::evacuation_list list{version, {}};
+    for (const auto &item : set.evacuations) {
+        list.items.push_back({item.id, 0});
+    }
+    return list;
+}
+
+auto withEvacuation(config_set set, const base::failure_domain_id &failureDomain, bool isEvacuated)
+        -> config_set
+{
+    const declared_evacuation item{failureDomain};
+    std::erase(set.evacuations, item);
+    if (isEvacuated) {
+        set.evacuations.insert(
+                std::lower_bound(set.evacuations.begin(), set.evacuations.end(), item), item);
+    }
+    return set;
+}
+
 auto targetServices(const route &item) -> std::vector<weighted_service>
 {
     if (!item.split.empty()) {
@@ -233,6 +254,13 @@
         out.routes.push_back(toWire(item));
     }
     out.limits = toWire(set.limits);
+    if (!set.evacuations.empty()) {
+        std::vector<std::string> names;
+        for (const auto &item : set.evacuations) {
+            names.push_back(item.id.str());
+        }
+        out.__set_evacuations(names);
+    }
     return base::encodeThrift(out);
 }
 
@@ -261,8 +289,11 @@
         set.routes.push_back(fromWire(item));
     }
     set.limits = fromWire(in->limits);
+    for (const auto &name : in->evacuations) {
+        set.evacuations.push_back({base::failure_domain_id(name)});
+    }
     if (!isSortedById(set.organisations) || !isSortedById(set.keys) || !isSortedById(set.services)
-        || !isSortedById(set.routes)) {
+        || !isSortedById(set.routes) || !isSortedById(set.evacuations)) {
         return std::nullopt;
     }
     return set;
--- a/src/config/model.h
+++ b/src/config/model.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/digest.h"
+#include "base/evacuation.h"
 #include "base/ids.h"
 #include "base/time.h"
 
@@ -141,6 +142,14 @@
     auto operator<=>(const caller_limits &) const = default;
 };
 
+//! A failure domain to whose upstreams no request is sent.
+struct declared_evacuation
+{
+    base::failure_domain_id id;
+
+    auto operator<=>(const declared_evacuation &) const = default;
+};
+
 //! The complete configuration that operators declare; all vectors are sorted by id.
 struct config_set
 {
@@ -149,6 +158,7 @@
     std::vector<service> services;
     std::vector<route> routes;
     caller_limits limits = {};
+    std::vector<declared_evacuation> evacuations = {};
 
     auto operator<=>(const config_set &) const = default;
 };
@@ -161,6 +171,13 @@
 auto findService(const config_set &set, const base::service_id &id) -> const service *;
 auto findRoute(const config_set &set, const base::route_id &id) -> const route *;
 
+//! Returns the evacuations of a set with `version` as their revision. Thread safety: pure.
+auto evacuationsOf(const config_set &set, base::config_version version) -> base::evacuation_list;
+
+//! Returns a set in which a failure domain is evacuated or not. Thread safety: pure.
+auto withEvacuation(config_set set, const base::failure_domain_id &failureDomain, bool isEvacuated)
+        -> config_set;
+
 //! Returns the target services of a route: the parts of its split, or its service with weight 1.
 //! Thread safety: pure.
 auto targetServices(const route &item) -> std::vector<weighted_service>;
--- a/src/config/tests/declarationtest.cpp
+++ b/src/config/tests/declarationtest.cpp
@@ -203,3 +203,22 @@
     CHECK(hasError(parse(VALID + "; " + std::string(400, 'x') + "\n"),
                    "set.ini:18: line has 402 bytes; at most 198 are allowed"));
 }
+
+// Guards against evacuations that are lost between nodes, change the digest of sets without any, or
+// don't show up in the history.
+TEST(declaration, evacuationsArePartOfTheSet)
+{
+    const auto plain = *parse(VALID);
+    const auto evacuated = *parse(VALID + "[evacuation d2]\n[evacuation d1]\n");
+    CHECK_EQUAL(2, evacuated.evacuations.size());
+    CHECK(*decode(encode(evacuated)) == evacuated);
+    CHECK(digestOf(plain) != digestOf(evacuated));
+    CHECK(describeDifference(plain, evacuated)
+          == (std::vector<std::string>{"+ evacuation d1", "+ evacuation d2"}));
+    CHECK(evacuationsOf(evacuated, 3).contains(base::failure_domain_id("d2")));
+    const auto domain = base::failure_domain_id("d1");
+    const auto half = withEvacuation(evacuated, domain, false);
+    CHECK_EQUAL(1, half.evacuations.size());
+    CHECK(withEvacuation(withEvacuation(half, domain, true), domain, true) == evacuated);
+    CHECK(hasError(parse(VALID + "[evacuation d1]\nsince = 1\n"), "since"));
+}
--- a/src/operators/fleetaccess.h
+++ b/src/operators/fleetaccess.h
@@ -88,6 +88,10 @@
             replaceController;
     std::function<config::snapshot_pointer()> configuration;
     std::function<bool()> isCurrent;
+    //! Returns why an order to start or end the evacuation of a failure domain is refused; empty if
+    //! it is allowed.
+    std::function<std::string(const base::failure_domain_id &failureDomain, bool starts)>
+            evacuationRefusal;
     std::function<membership::view_pointer()> view;
 };
 
--- a/src/operators/internal/apitypes.cpp
+++ b/src/operators/internal/apitypes.cpp
@@ -59,6 +59,30 @@
     return submission;
 }
 
+auto toJson(const evacuation_submission &submission) -> std::string
+{
+    return webapi::toText(json::object{{"change_id", submission.changeId},
+                                       {"failure_domain", submission.failureDomain.str()},
+                                       {"order", submission.starts ? "start" : "end"}});
+}
+
+auto parseEvacuationSubmission(std::string_view text) -> std::optional<evacuation_submission>
+{
+    const auto object = webapi::parseObject(text);
+    if (!object) {
+        return std::nullopt;
+    }
+    const auto changeId = webapi::textMember(*object, "change_id");
+    const auto failureDomain = webapi::textMember(*object, "failure_domain");
+    const auto order = webapi::textMember(*object, "order");
+    if (!changeId || changeId->empty() || !failureDomain || !order
+        || (*order != "start" && *order != "end")) {
+        return std::nullopt;
+    }
+    return evacuation_submission{*changeId, base::failure_domain_id(*failureDomain),
+                                 *order == "start"};
+}
+
 auto toJson(const change_answer &answer) -> std::string
 {
     return webapi::toText(json::object{{"state", json::string(changeStateName(answer.state))},
--- a/src/operators/internal/operatorserver.cpp
+++ b/src/operators/internal/operatorserver.cpp
@@ -93,6 +93,9 @@
     if (incoming.method == "POST" && incoming.path == "/v1/changes") {
         co_return co_await postChange(incoming);
     }
+    if (incoming.method == "POST" && incoming.path == "/v1/evacuations") {
+        co_return co_await postEvacuation(incoming);
+    }
     if (incoming.method == "POST" && incoming.path == "/v1/controllers/replace") {
         co_return co_await postControllerReplacement(incoming);
     }
@@ -132,6 +135,36 @@
         co_return webapi::response{422, "application/json", toJson(set.error())};
     }
     change_request request{submission->changeId, submission->baseVersion, std::move(*set)};
+    co_return co_await apply(std::move(request));
+}
+
+// The change is based on the configuration of this node: if another one came first, it is rejected
+// and the operator repeats it.
+auto operator_server::postEvacuation(const webapi::request &incoming)
+        -> asio::awaitable<webapi::response>
+{
+    const auto submission = parseEvacuationSubmission(incoming.body);
+    if (!submission) {
+        co_return webapi::response{
+                400, "text/plain",
+                "body must be a JSON object with a non-empty `change_id`, a `failure_domain` and "
+                "an `order`, which is `start` or `end`\n"};
+    }
+    const auto configuration = m_access.configuration();
+    const auto refusal = m_access.evacuationRefusal(submission->failureDomain, submission->starts);
+    if (!refusal.empty()) {
+        const change_answer answer{change_state::Rejected, configuration->version(),
+                                   base::toHex(config::digestOf(configuration->set())), refusal};
+        co_return webapi::response{httpStatusOf(answer.state), "application/json", toJson(answer)};
+    }
+    change_request request{submission->changeId, configuration->version(),
+                           config::withEvacuation(configuration->set(), submission->failureDomain,
+                                                  submission->starts)};
+    co_return co_await apply(std::move(request));
+}
+
+auto operator_server::apply(change_request request) -> asio::awaitable<webapi::response>
+{
     const auto answer = co_await base::awaitCallback<change_answer>(
             [this, &request](std::function<void(change_answer)> done) {
                 m_access.apply(std::move(request), std::move(done));
--- a/src/operators/operatorserver.h
+++ b/src/operators/operatorserver.h
@@ -29,6 +29,9 @@
     auto handle(webapi::request incoming) -> boost::asio::awaitable<webapi::response>;
     [[nodiscard]] auto isAuthorized(const webapi::request &incoming) const -> bool;
     auto postChange(const webapi::request &incoming) -> boost::asio::awaitable<webapi::response>;
+    auto postEvacuation(const webapi::request &incoming)
+            -> boost::asio::awaitable<webapi::response>;
+    auto apply(change_request request) -> boost::asio::awaitable<webapi::response>;
     auto getChange(std::string changeId) -> boost::asio::awaitable<webapi::response>;
     auto getHistory() -> boost::asio::awaitable<webapi::response>;
     auto getStatus() -> boost::asio::awaitable<webapi::response>;
--- a/src/operators/tests/operatorservertest.cpp
+++ b/src/operators/tests/operatorservertest.cpp
@@ -36,6 +36,9 @@
     access.configuration = [] {
         return std::make_shared<const config::snapshot>();
     };
+    access.evacuationRefusal = [](const base::failure_domain_id &failureDomain, bool /*starts*/) {
+        return failureDomain.str() == "d1" ? "" : "no such failure domain";
+    };
     access.isCurrent = [] {
         return true;
     };
@@ -99,6 +102,24 @@
     STRCMP_EQUAL("d1", parseChangeAnswer(rejected.body)->digest.c_str());
 }
 
+// Guards against an evacuation of a misspelt domain that is applied, and a malformed order that is
+// read as a start.
+TEST(operator_server_test, evacuationIsAppliedUnlessItIsRefused)
+{
+    const auto post = [&](const std::string &body) {
+        return send("POST", "/v1/evacuations", body, OPERATOR_KEY);
+    };
+    const evacuation_submission order{"c1", base::failure_domain_id("d1"), false};
+    CHECK(parseEvacuationSubmission(toJson(order)) == order);
+    CHECK_EQUAL(200U, post(toJson(order)).status);
+    CHECK_EQUAL(1, m_applyCalls.load());
+    const auto refused = post(toJson(evacuation_submission{"c2", base::failure_domain_id("d2")}));
+    CHECK_EQUAL(409U, refused.status);
+    STRCMP_EQUAL("no such failure domain", parseChangeAnswer(refused.body)->reason.c_str());
+    CHECK_EQUAL(400U, post(R"({"change_id":"c3","failure_domain":"d1","order":"stop"})").status);
+    CHECK_EQUAL(1, m_applyCalls.load());
+}
+
 // Guards against an invalid configuration that is appended to the replicated log.
 TEST(operator_server_test, invalidConfigurationIsRejectedWithErrorsAndNotApplied)
 {
