--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -25,6 +25,7 @@
 ABSL_FLAG(int, edges, 6, "nodes with an upstream");
 ABSL_FLAG(bool, crashing_requests, false,
           "also send requests that end each upstream that runs them");
+ABSL_FLAG(bool, evacuations, false, "also evacuate failure domains and take them back");
 ABSL_FLAG(int, callers, 10, "callers, each with connections of its own");
 
 using namespace hawthornpick;
@@ -46,6 +47,10 @@
 constexpr std::string_view CRASHING_PATH = "/r/crash";
 //! Time for which an ended upstream is down.
 constexpr base::milliseconds UPSTREAM_DOWN_TIME{1000};
+//! Failure domains of the fleet; node n is in domain n modulo this number.
+constexpr int DOMAIN_COUNT = 4;
+//! Time for which no request may reach an evacuated domain after the last fault.
+constexpr base::milliseconds EVACUATION_CHECK_TIME{3000};
 //! Time that an upstream works on a request.
 constexpr base::milliseconds WORK_TIME{30};
 
@@ -192,6 +197,54 @@
     bool m_hasUnclear = false;
 };
 
+//! Evacuates failure domains and takes them back, one after the other, at changing nodes.
+class evacuation_operator
+{
+public:
+    evacuation_operator(const mesh_fleet &fleet, std::uint64_t seed)
+        : m_fleet(fleet), m_random(seed)
+    {}
+
+    //! Returns after an order to start was acknowledged and `stop` was requested.
+    auto run(const std::stop_token &stop) -> void
+    {
+        while (true) {
+            m_domain = static_cast<int>(m_random.below(DOMAIN_COUNT));
+            orderUntilAcknowledged("POST");
+            pause(base::milliseconds(500 + m_random.below(2000)));
+            if (stop.stop_requested()) {
+                return;
+            }
+            orderUntilAcknowledged("DELETE");
+        }
+    }
+
+    //! Domain of the last acknowledged order.
+    [[nodiscard]] auto domain() const -> int { return m_domain; }
+    [[nodiscard]] auto acknowledgedCount() const -> int { return m_acknowledgedCount; }
+
+private:
+    auto orderUntilAcknowledged(const std::string &method) -> void
+    {
+        const auto path = "/evacuation/d" + std::to_string(m_domain);
+        while (true) {
+            const auto core = m_random.below(static_cast<std::uint64_t>(m_fleet.cores()));
+            const auto answer = http_client(m_fleet.controlAddress(static_cast<int>(core)))
+                                        .send(method, path, {});
+            if (answer && answer->status == 200) {
+                ++m_acknowledgedCount;
+                return;
+            }
+            pause(POLL_INTERVAL);
+        }
+    }
+
+    const mesh_fleet &m_fleet;
+    base::random_source m_random;
+    int m_domain = 0;
+    int m_acknowledgedCount = 0;
+};
+
 //! Injects faults one after the other; several may be under way at once.
 class fault_injector
 {
@@ -380,11 +433,13 @@
 auto soakOnce(std::uint64_t seed) -> std::vector<std::string>
 {
     promises record({"narrow", NARROW_RATE, NARROW_RATE});
+    std::array<std::atomic<int>, DOMAIN_COUNT> runsByDomain{};
     const auto folder = std::filesystem::temp_directory_path()
                         / ("hawthornpick-soak-" + std::to_string(getpid()));
     mesh_fleet fleet(absl::GetFlag(FLAGS_binary), folder,
                      {absl::GetFlag(FLAGS_cores), absl::GetFlag(FLAGS_edges)},
-                     [&record, &fleet](int node, webapi::request incoming) {
+                     [&record, &fleet, &runsByDomain](int node, webapi::request incoming) {
+                         ++runsByDomain.at(static_cast<std::size_t>(node % DOMAIN_COUNT));
                          if (incoming.path.starts_with(CRASHING_PATH)) {
                              fleet.crashUpstream(node, UPSTREAM_DOWN_TIME);
                          }
@@ -402,6 +457,12 @@
             caller(fleet, record, -1, seed + 3).repeatCrashingRequests(stop);
         });
     }
+    evacuation_operator evacuations(fleet, seed + 4);
+    std::optional<std::jthread> evacuationThread;
+    if (absl::GetFlag(FLAGS_evacuations)) {
+        evacuationThread.emplace(
+                [&evacuations](const std::stop_token &stop) { evacuations.run(stop); });
+    }
     for (int i = 1; i <= absl::GetFlag(FLAGS_callers); ++i) {
         threads.emplace_back([&fleet, &record, seed, i](const std::stop_token &stop) {
             caller(fleet, record, i, seed * 1000 + static_cast<std::uint64_t>(i)).run(stop);
@@ -409,6 +470,17 @@
     }
     fault_injector(fleet, seed).run(std::chrono::seconds(absl::GetFlag(FLAGS_seconds)));
     const bool isServed = waitUntilServed(fleet, probe, RECOVERY_TIME);
+    if (evacuationThread) {
+        evacuationThread.reset();
+        pause(promises::APPLY_TIME);
+        const auto &runs = runsByDomain.at(static_cast<std::size_t>(evacuations.domain()));
+        const int before = runs;
+        pause(EVACUATION_CHECK_TIME);
+        if (runs != before) {
+            record.fail("requests reached an evacuated failure domain");
+        }
+        std::cout << evacuations.acknowledgedCount() << " evacuation orders acknowledged\n";
+    }
     for (auto &thread : threads) {
         thread.request_stop();
     }
