serve: obey declared evacuations in each choice

The selector and the choice of a crash suspect's owner get the evacuations of the configuration in force as part of the scope. A process test evacuates a domain with `POST /v1/evacuations` and takes it back.

--- a/src/app/internal/node.cpp
+++ b/src/app/internal/node.cpp
@@ -162,8 +162,12 @@
 
     auto callerDependencies() -> caller::server_dependencies
     {
-        auto hooks = caller::policyHooks(m_selector, m_retryBudgets);
-        hooks.selectNode = crashAwareSelection(m_health, std::move(hooks.selectNode));
+        const auto evacuations = [this] {
+            const auto configuration = m_control.configuration().load();
+            return config::evacuationsOf(configuration->set(), configuration->version());
+        };
+        auto hooks = caller::policyHooks(m_selector, m_retryBudgets, evacuations);
+        hooks.selectNode = crashAwareSelection(m_health, evacuations, std::move(hooks.selectNode));
         hooks.isConfigurationCurrent = [this] {
             return m_control.isCurrent();
         };
--- a/src/app/internal/nodehooks.cpp
+++ b/src/app/internal/nodehooks.cpp
@@ -126,7 +126,8 @@
 // Selects the owner of a crash suspect, the only node that may run it. Fails if the owner is
 // unknown or was already tried.
 auto selectOwner(const health_control &health, const caller::selection_request &request,
-                 policy::crash_fingerprint fingerprint) -> base::result<caller::chosen_node>
+                 const base::evacuation_list &evacuations, policy::crash_fingerprint fingerprint)
+        -> base::result<caller::chosen_node>
 {
     const auto ownerId = health.suspectOwner(request.service.id, fingerprint);
     const auto *owner = ownerId ? request.view.find(*ownerId) : nullptr;
@@ -140,9 +141,10 @@
         return base::fail(base::error_kind::CrashSuspected,
                           "the only node that may run this crash suspect refused or failed it");
     }
-    if (const auto refusal = request.scope({}).refusalFor(owner->region, owner->failureDomain)) {
+    if (const auto refusal =
+                request.scope(evacuations).refusalFor(owner->region, owner->failureDomain)) {
         return base::fail(*refusal, "the only node that may run this crash suspect is out of the "
-                                    "allowed regions");
+                                    "allowed regions or evacuated");
     }
     return caller::chosen_node{owner->id, owner->incarnation, owner->peerAddress};
 }
@@ -150,17 +152,18 @@
 } // namespace
 
 auto crashAwareSelection(const health_control &health,
+                         std::function<base::evacuation_list()> evacuations,
                          decltype(caller::entry_hooks::selectNode) next)
         -> decltype(caller::entry_hooks::selectNode)
 {
-    return [&health, next = std::move(next)](
+    return [&health, evacuations = std::move(evacuations), next = std::move(next)](
                    const caller::selection_request &request) -> base::result<caller::chosen_node> {
         const auto fingerprint = crashFingerprintOf(request);
         switch (health.crashVerdict(request.service.id, fingerprint)) {
         case policy::crash_verdict::Run:
             return next(request);
         case policy::crash_verdict::RunAlone:
-            return selectOwner(health, request, fingerprint);
+            return selectOwner(health, request, evacuations(), fingerprint);
         case policy::crash_verdict::Refuse:
             break;
         }
--- a/src/app/internal/nodehooks.h
+++ b/src/app/internal/nodehooks.h
@@ -17,6 +17,7 @@
 //! upstreams: such a request is refused or runs only on the node that owns it. Precondition:
 //! `health` outlives the hook.
 auto crashAwareSelection(const health_control &health,
+                         std::function<base::evacuation_list()> evacuations,
                          decltype(caller::entry_hooks::selectNode) next)
         -> decltype(caller::entry_hooks::selectNode);
 
--- a/src/caller/internal/wiring.cpp
+++ b/src/caller/internal/wiring.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-auto selectWith(policy::selector &selector, const selection_request &input)
-        -> base::result<chosen_node>
+auto selectWith(policy::selector &selector, const base::evacuation_list &evacuations,
+                const selection_request &input) -> base::result<chosen_node>
 {
     policy::selection_request request;
     request.service = input.service.id;
@@ -16,7 +16,7 @@
     request.expectedBytes = input.bodyBytes;
     request.excludedNodes = input.excludedNodes;
     request.organisation = input.organisation;
-    request.scope = input.scope({});
+    request.scope = input.scope(evacuations);
     const auto chosen = selector.choose(input.view, request, base::clock::now());
     if (!chosen) {
         return tl::unexpected(chosen.error());
@@ -62,11 +62,13 @@
     return findBudget(service).tryRetry(organisation);
 }
 
-auto policyHooks(policy::selector &selector, service_budgets &budgets) -> entry_hooks
+auto policyHooks(policy::selector &selector, service_budgets &budgets,
+                 std::function<base::evacuation_list()> evacuations) -> entry_hooks
 {
     entry_hooks hooks;
-    hooks.selectNode = [&selector](const selection_request &input) {
-        return selectWith(selector, input);
+    hooks.selectNode = [&selector,
+                        evacuations = std::move(evacuations)](const selection_request &input) {
+        return selectWith(selector, evacuations ? evacuations() : base::evacuation_list(), input);
     };
     hooks.onAttemptEnd = [&selector](const attempt_report &report) {
         reportToSelector(selector, report);
--- a/src/caller/wiring.h
+++ b/src/caller/wiring.h
@@ -32,9 +32,10 @@
 };
 
 //! Returns hooks that choose nodes with `selector`, report the load and the refusals of nodes to
-//! it, and limit retries by `budgets`. The other hooks are empty. Precondition: the arguments
-//! outlive the hooks.
-auto policyHooks(policy::selector &selector, service_budgets &budgets) -> entry_hooks;
+//! it, and limit retries by `budgets`. The other hooks are empty. `evacuations` returns those in
+//! force; null means that there are none. Precondition: `selector` and `budgets` outlive the hooks.
+auto policyHooks(policy::selector &selector, service_budgets &budgets,
+                 std::function<base::evacuation_list()> evacuations = nullptr) -> entry_hooks;
 
 //! Returns a hook that asks the executing node through `fences` whether an attempt has started, and
 //! keeps it from starting later. Precondition: `fences` outlives the hook.
--- a/tests/process/fleet.cpp
+++ b/tests/process/fleet.cpp
@@ -235,6 +235,22 @@
     return operator_answer{answer->status, answer->body};
 }
 
+auto fleet::evacuate(const std::string &node, const std::string &changeId,
+                     const std::string &failureDomain, bool starts)
+        -> std::optional<operator_answer>
+{
+    const operators::evacuation_submission submission{
+            changeId, base::failure_domain_id(failureDomain), starts};
+    const auto answer = webapi::call(
+            {ip(node), OPERATOR_PORT},
+            {"POST", "/v1/evacuations", {}, OPERATOR_KEY, operators::toJson(submission)},
+            CALL_TIMEOUT);
+    if (!answer) {
+        return std::nullopt;
+    }
+    return operator_answer{answer->status, answer->body};
+}
+
 auto fleet::change(const std::string &node, const std::string &changeId)
         -> std::optional<operator_answer>
 {
--- a/tests/process/fleet.h
+++ b/tests/process/fleet.h
@@ -83,6 +83,9 @@
     //! Sends a set over the operator interface of a node.
     auto apply(const std::string &node, const std::string &changeId, std::uint64_t baseVersion,
                const std::string &declaration) -> std::optional<operator_answer>;
+    //! Starts or ends the evacuation of a failure domain over the operator interface of a node.
+    auto evacuate(const std::string &node, const std::string &changeId,
+                  const std::string &failureDomain, bool starts) -> std::optional<operator_answer>;
     auto change(const std::string &node, const std::string &changeId)
             -> std::optional<operator_answer>;
     //! Version that a node serves; nothing if it does not answer.
--- a/tests/process/invarianttest.cpp
+++ b/tests/process/invarianttest.cpp
@@ -96,6 +96,42 @@
     STRCMP_EQUAL("not_run", onIsolated->outcome.c_str());
 }
 
+// Guards against requests that reach an evacuated failure domain once the order is in force, and
+// against one that stays out of use.
+TEST(process, evacuatedDomainGetsNoRequestsUntilItIsTakenBack)
+{
+    auto &upstream = addUpstream("a2");
+    addUpstream("a3");
+    m_fleet.applyAndWait(WIDE);
+    http_client client(m_fleet.callerAddress("a2"));
+    const auto isUsed = [&] {
+        const int before = upstream.started();
+        for (int i = 0; i < 20; ++i) {
+            (void)client.send("GET", "/read", KEY);
+        }
+        return upstream.started() > before;
+    };
+    waitUntil("the upstream is used", isUsed);
+    waitUntil("the evacuation is in force", [&] {
+        const auto answer = m_fleet.evacuate("a2", "evacuate", "a0", true);
+        return answer && jsonText(answer->body, "state") == "in_force";
+    });
+    const int before = upstream.started();
+    for (int i = 0; i < 50; ++i) {
+        const auto answer = client.send("GET", "/read", KEY);
+        CHECK(answer.has_value());
+        CHECK_EQUAL(200U, answer->status);
+    }
+    CHECK_EQUAL(before, upstream.started());
+    CHECK_EQUAL(409U, m_fleet.evacuate("a2", "last", "a1", true)->status);
+    CHECK_EQUAL(409U, m_fleet.evacuate("a2", "unknown", "nowhere", true)->status);
+    waitUntil("the evacuation is ended", [&] {
+        const auto answer = m_fleet.evacuate("a2", "take-back", "a0", false);
+        return answer && jsonText(answer->body, "state") == "in_force";
+    });
+    waitUntil("the upstream is used again", isUsed);
+}
+
 // Guards against a caller's key that reaches an upstream, and against a request without a key that
 // runs.
 TEST(process, upstreamSeesNoKeyAndKeylessRequestsDoNotRun)
