--- a/src/quorum/tests/quorumfleet.cpp
+++ b/src/quorum/tests/quorumfleet.cpp
@@ -110,6 +110,12 @@
         m_highestAcceptedRevision =
                 std::max(m_highestAcceptedRevision, m_orders.at(request->second).baseRevision + 1);
     }
+    if (request != m_orderRequests.end()
+        && std::holds_alternative<quorum::order_outdated>(completed.answer)) {
+        CHECK_TEXT(!m_acceptedOrders.contains(request->second)
+                           || m_orderByRevision.size() > quorum::MAX_RETAINED_ORDERS,
+                   "a repeat of an accepted order was not recognised");
+    }
     m_startedOrders.erase(key);
     m_orderRequests.erase(key);
 }
