Use free slots at any estimate and plan returns over all upstreams

Cause: a route whose expected service time was too long got no request that would correct it. Return times counted only the upstreams heard of within a second, so a node that hears of few sent callers away too long.

Change: a free slot serves any request; backlog and rate are scaled to all upstreams of the service; a service with as many free slots as waiting requests plans no return.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -608,9 +608,12 @@
             return std::nullopt;
         }
         const auto now = base::clock::now();
-        const auto delay = m_returnTime.next(
-                request.service.id, rankOf(request), m_overload.backlogOf(request.service.id, now),
-                request.deadline - now, std::max<std::size_t>(1, m_entryNodeCount), now);
+        const auto &service = request.service.id;
+        const auto backlog =
+                m_overload.backlogOf(service, request.view.upstreamsOf(service).size(), now);
+        const auto delay =
+                m_returnTime.next(service, rankOf(request), backlog, request.deadline - now,
+                                  std::max<std::size_t>(1, m_entryNodeCount), now);
         return delay ? std::optional(std::chrono::floor<base::milliseconds>(*delay)) : std::nullopt;
     }
 
--- a/src/app/internal/overloadcontrol.cpp
+++ b/src/app/internal/overloadcontrol.cpp
@@ -74,16 +74,22 @@
            + std::to_string(reports.size()) + " upstreams with a recent report";
 }
 
-auto overload_control::backlogOf(const base::service_id &service, base::time_point now)
-        -> policy::service_backlog
+auto overload_control::backlogOf(const base::service_id &service, std::size_t upstreamCount,
+                                 base::time_point now) -> policy::service_backlog
 {
+    const auto &reports = recentReports(service, now);
+    const double upstreamsPerReport =
+            std::max(1.0, static_cast<double>(upstreamCount)
+                                  / std::max(1.0, static_cast<double>(reports.size())));
     policy::service_backlog backlog;
-    for (const auto &[node, item] : recentReports(service, now)) {
+    for (const auto &[node, item] : reports) {
         const auto &load = item.load;
-        backlog.waiting += load.waiting;
-        backlog.freeSlots += load.usableSlots - std::min(load.usableSlots, load.busySlots);
+        const auto freeSlots = load.usableSlots - std::min(load.usableSlots, load.busySlots);
+        backlog.waiting += upstreamsPerReport * load.waiting;
+        backlog.freeSlots += upstreamsPerReport * freeSlots;
         if (load.meanServiceTime.count() > 0) {
-            backlog.endsPerSecond += load.usableSlots / base::toSeconds(load.meanServiceTime);
+            backlog.endsPerSecond +=
+                    upstreamsPerReport * load.usableSlots / base::toSeconds(load.meanServiceTime);
         }
     }
     return backlog;
--- a/src/app/internal/overloadcontrol.h
+++ b/src/app/internal/overloadcontrol.h
@@ -44,8 +44,9 @@
     auto refusalOf(const base::service_id &service, std::uint32_t rank, base::time_point now)
             -> std::string;
 
-    //! Returns the backlog of a service as reported.
-    auto backlogOf(const base::service_id &service, base::time_point now)
+    //! Returns the backlog of a service with `upstreamCount` upstreams; those without a recent
+    //! report count like the average of the others.
+    auto backlogOf(const base::service_id &service, std::size_t upstreamCount, base::time_point now)
             -> policy::service_backlog;
 
     //! Publishes level and counts of the queue of a service on this node, and logs changes of the
--- a/src/policy/internal/costqueue.cpp
+++ b/src/policy/internal/costqueue.cpp
@@ -70,11 +70,12 @@
     if (const auto refusal = admissionError()) {
         return base::fail(*refusal);
     }
-    if (startForDeadline(request) < now || request.deadline <= now) {
+    if (request.deadline <= now) {
         return base::fail(base::error_kind::DeadlineBeforeStart);
     }
     recordArrival(request, now);
-    // No request waits while a slot is free.
+    // No request waits while a slot is free. A free slot serves any request: otherwise an expected
+    // service time that is too long would never be corrected.
     if (const auto upstream = leastLoadedUpstream(); upstream != m_upstreams.end()) {
         m_ranks[request.priority].lastGrant = ++m_grantCount;
         return occupy(upstream, request, now);
--- a/src/policy/internal/returntime.cpp
+++ b/src/policy/internal/returntime.cpp
@@ -9,7 +9,8 @@
                        std::size_t entryNodes, base::time_point now)
         -> std::optional<base::duration>
 {
-    if (backlog.endsPerSecond <= 0.0 || (backlog.waiting == 0 && backlog.freeSlots > 0)) {
+    const bool hasRoom = backlog.freeSlots > 0.0 && backlog.freeSlots >= backlog.waiting;
+    if (hasRoom || backlog.endsPerSecond <= 0.0) {
         return std::nullopt;
     }
     const auto longest = std::max<base::duration>(timeLeft / TIME_LEFT_DIVISOR, {});
--- a/src/policy/returntime.h
+++ b/src/policy/returntime.h
@@ -12,12 +12,11 @@
 
 namespace hawthornpick::policy {
 
-//! Backlog of a service and the rate at which it is worked off, summed over the upstreams with a
-//! recent report.
+//! Backlog of a service and the rate at which it is worked off, summed over its upstreams.
 struct service_backlog
 {
-    std::uint32_t waiting = 0;
-    std::uint32_t freeSlots = 0;
+    double waiting = 0.0;
+    double freeSlots = 0.0;
     //! Requests that the upstreams end per second while all their slots are busy.
     double endsPerSecond = 0.0;
 
@@ -42,8 +41,8 @@
     explicit return_time(std::uint64_t seed) : m_random(seed) {}
 
     //! Returns the time after which a caller of the given rank should return, and counts it as
-    //! returning then; nothing if the service has no backlog, or none is known. `entryNodes` share
-    //! the room. Precondition: `entryNodes` > 0.
+    //! returning then; nothing if the service has as many free slots as waiting requests, or if
+    //! nothing is known of it. `entryNodes` share the room. Precondition: `entryNodes` > 0.
     auto next(const base::service_id &service, std::uint32_t rank, const service_backlog &backlog,
               base::duration timeLeft, std::size_t entryNodes, base::time_point now)
             -> std::optional<base::duration>;
--- a/src/policy/tests/costqueuetest.cpp
+++ b/src/policy/tests/costqueuetest.cpp
@@ -264,6 +264,17 @@
     CHECK(!elsewhere && elsewhere.error().kind == base::error_kind::QueueFull);
 }
 
+// Guards against a service whose expected service time is too long and which therefore gets no
+// request that would correct it.
+TEST(cost_queue, usesFreeSlotsWhateverTheExpectedServiceTimeIs)
+{
+    m_queue.setUpstream(UPSTREAM, {1, 1, false, false}, m_now);
+    const auto result =
+            m_queue.acquire(requestOf(m_random, m_now, 3, milliseconds(9000), milliseconds(500)),
+                            m_now, [](auto) {});
+    CHECK(result && *result);
+}
+
 // Guards against a full queue of cheap requests that keeps urgent ones out, and against a cheap
 // request that displaces one.
 TEST(cost_queue, refusesTheCheapestRequestAtAFullQueue)
--- a/src/policy/tests/returntimetest.cpp
+++ b/src/policy/tests/returntimetest.cpp
@@ -68,5 +68,6 @@
 TEST(return_time, plansNothingWithoutBacklog)
 {
     CHECK(!m_times.next(SERVICE, 1, {0, 3, 100.0}, seconds(60), 1, NOW));
+    CHECK(!m_times.next(SERVICE, 1, {2, 3, 100.0}, seconds(60), 1, NOW));
     CHECK(!m_times.next(SERVICE, 1, {}, seconds(60), 1, NOW));
 }
