fleet: send evacuations with forwarded answers

Hubs that leave other regions to a gateway learned of evacuations one exchange later than before gateways. The gateway now sends them with the answers that it forwards; the new test fails without that.

--- a/src/fleet/hub.h
+++ b/src/fleet/hub.h
@@ -151,6 +151,8 @@
         //! peer. It notices if some were lost.
         std::uint64_t sentChange = 0;
         usage_position sentUsage;
+        //! Revision of the evacuations that the peer knew when it asked last.
+        std::uint64_t evacuationRevision = 0;
     };
     //! Another region as described by one of its hubs, directly or by a gateway.
     struct region_state
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -257,6 +257,7 @@
     answer.stored = storedVersion(from);
     answer.isDirectoryComplete = isDirectoryComplete(now);
     answer.evacuations = newerEvacuations(content.evacuationRevision);
+    peer.evacuationRevision = content.evacuationRevision;
     if (regionOf(from) != self().entry.region) {
         const auto sum = regionUsage(now);
         const auto isExact = [&](const base::organisation_id &organisation) {
@@ -429,6 +430,7 @@
         answer.sinceChange = peer.sentChange;
         answer.records = recordsForPeer(node, {answer.cursor.bootId, peer.sentChange});
         answer.stored = storedVersion(node);
+        answer.evacuations = newerEvacuations(peer.evacuationRevision);
         peer.sentChange = answer.cursor.changeNumber;
         out.push_back(toOutgoingMessage(node, answer));
     }
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -935,6 +935,23 @@
     }
 }
 
+// Guards against hubs that learn of evacuations later because they leave other regions to a
+// gateway: an exchange in the region of the hub that knows them and one with that region are
+// enough.
+TEST(directory, evacuationsReachAllHubsThroughGateways)
+{
+    traffic_fleet fleet;
+    for (int hub = 0; hub < TRAFFIC_HUBS; ++hub) {
+        fleet.run(milliseconds(37 * hub));
+        const base::evacuation_list list{static_cast<std::uint64_t>(hub) + 1, {}};
+        fleet.commitEvacuations(hub, list);
+        fleet.run(2 * fleet::hub::SYNC_INTERVAL + milliseconds(50));
+        for (int i = 0; i < TRAFFIC_HUBS; ++i) {
+            CHECK(fleet.node(i).evacuations == list);
+        }
+    }
+}
+
 // Guards against a region that learns nothing while its gateway is dead, paused, or cut off from
 // the other hubs of its region, from the other region, or from both, in one direction.
 TEST(directory, failedGatewayIsReplaced)
