Bound attempts by believed room and plan further hedges

Cause: under a double burst work crossed regions although none had room, and a request was sent to at most six upstreams also where its region had room; after a hedge that couldn't be started a request waited on a hung upstream until its deadline. With it or with order = cost, hedge_plan times hedges so that the target or else the deadline can be met, and one that couldn't be started is planned again; attempts of the route and the repeat budget bind as before. Existing cases of that test are unchanged apart from the options that they are built with. Not tried with real processes under load.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -11,7 +11,9 @@
 #include "caller/callerserver.h"
 #include "limits/fleetratelimiter.h"
 #include "policy/callratio.h"
+#include "policy/hedgeplan.h"
 #include "policy/placement.h"
+#include "policy/placementlimit.h"
 #include "policy/repeatbudget.h"
 #include "policy/servicesplit.h"
 #include "status/statusserver.h"
@@ -56,7 +58,7 @@
 //! The queueing time may exceed the estimate of the entry node by the target latency divided by
 //! this number.
 constexpr int WAIT_MARGIN_DIVISOR = 8;
-constexpr unsigned MAX_PLACEMENTS = 6;
+constexpr unsigned MAX_PLACEMENTS = policy::placement_limit::MAX_ATTEMPTS;
 //! The executing node refuses a request if the success probability of its upstream is lower than
 //! the entry node's estimate by more than this margin. The wide margin lets idempotent requests
 //! explore uncertain upstreams; other requests need a reliable one.
@@ -101,8 +103,8 @@
           m_configuration(std::make_shared<const config::snapshot>()),
           m_membershipView(std::make_shared<const membership::view>()),
           m_placement(placementSettings(settings), base::systemSeed()),
-          m_upstreamHealth(m_configuration), m_random(base::systemSeed()),
-          m_serviceSplit(base::systemSeed()),
+          m_placementLimit(settings.region), m_upstreamHealth(m_configuration),
+          m_random(base::systemSeed()), m_serviceSplit(base::systemSeed()),
           m_repeatBudget({settings.repeatShare * REPEAT_SHARE_RATIO, 0.0, settings.repeatWindow}),
           m_rateLimiter({}, base::systemSeed(), base::clock::now()),
           m_crashControl(context, m_identity.node, m_metrics, upstreamAddresses(),
@@ -385,7 +387,11 @@
         hooks.callerService = [this] {
             return m_settings.service;
         };
-        hooks.attemptRules = {true, MAX_PLACEMENTS, false, MAX_BUFFERED_RESPONSE_BYTES, true};
+        const auto maxAttempts = m_settings.followsRemoteRoom
+                                         ? policy::placement_limit::MAX_ATTEMPTS_WITH_ROOM
+                                         : MAX_PLACEMENTS;
+        hooks.attemptRules = {true, maxAttempts,  false, MAX_BUFFERED_RESPONSE_BYTES,
+                              true, plansHedges()};
         return hooks;
     }
 
@@ -420,11 +426,18 @@
             return tl::unexpected(allowed.error());
         }
         updateOwnLoad(request.service.id);
-        const auto placed =
-                m_placement.choose(request.view, placementRequest(request), base::clock::now());
+        auto wanted = placementRequest(request);
+        const auto maxAttempts = limitByRoom(request, wanted);
+        if (request.attemptCount >= maxAttempts) {
+            return base::fail(base::error_kind::Overloaded, "no room believed for more attempts");
+        }
+        const auto placed = m_placement.choose(request.view, wanted, base::clock::now());
         if (!placed) {
             return tl::unexpected(placed.error());
         }
+        if (m_settings.followsRemoteRoom) {
+            m_placementLimit.onSent(request.service.id, placed->node->region, base::clock::now());
+        }
         m_log.write(log_event::AttemptPlaced, base::clock::now(),
                     {{"request", request.requestId},
                      {"service", request.service.id.str()},
@@ -433,9 +446,33 @@
                      {"placement", request.attemptCount}});
         const double healthMargin =
                 request.idempotent ? HEALTH_MARGIN_IDEMPOTENT : HEALTH_MARGIN_NON_IDEMPOTENT;
-        return caller::chosen_node{placed->node->id, 0, placed->node->peerAddress,
+        caller::chosen_node chosen{placed->node->id, 0, placed->node->peerAddress,
                                    std::max(0.0, placed->health - healthMargin),
                                    maxWait(request, placed->wait)};
+        if (request.attemptCount + 1 >= maxAttempts) {
+            // The last attempt waits for a slot, and takes the upstream as it is.
+            chosen.minHealth = request.idempotent ? 0.0 : chosen.minHealth;
+            chosen.maxWait = base::duration::max();
+        }
+        return chosen;
+    }
+
+    // Closes the regions that are believed to have no room for the request, and returns the maximum
+    // number of its attempts.
+    auto limitByRoom(const caller::selection_request &request,
+                     policy::placement_request &wanted) const -> unsigned
+    {
+        if (!m_settings.followsRemoteRoom) {
+            return MAX_PLACEMENTS;
+        }
+        const auto now = base::clock::now();
+        const policy::service_belief belief(m_placement.roomsFor(request.view, wanted, now));
+        auto limits =
+                m_placementLimit.limitsFor(request.service.id, belief, request.attemptCount, now);
+        wanted.closedRegions = std::move(limits.closedRegions);
+        // Each request may wait for a slot once, also if there seemed to be room until now.
+        return request.hasWaited ? limits.maxAttempts
+                                 : std::max(limits.maxAttempts, request.attemptCount + 1);
     }
 
     auto chooseTrial(const caller::selection_request &request) -> std::optional<caller::chosen_node>
@@ -484,6 +521,7 @@
         const auto now = base::clock::now();
         m_placement.onAttemptEnd(report.chosen.id, report.service, report.failure, report.load,
                                  now);
+        recordRoom(report);
         const bool isCancelled = report.failure == base::error_kind::CallerGone;
         if (report.failure && !isCancelled) {
             m_log.write(log_event::AttemptFailed, now,
@@ -502,6 +540,16 @@
         }
     }
 
+    auto recordRoom(const caller::attempt_report &report) -> void
+    {
+        const auto view = m_membershipView.load();
+        const auto *node = m_settings.followsRemoteRoom ? view->find(report.chosen.id) : nullptr;
+        if (node != nullptr) {
+            m_placementLimit.onEnd(report.service, node->region,
+                                   report.failure && base::isNotRun(*report.failure));
+        }
+    }
+
     auto logAttemptEnd(const upstream::attempt_observation &observation,
                        const upstream::attempt_finish &finish) -> void
     {
@@ -569,8 +617,19 @@
         const auto scaledTarget = [targetLatency](double ratio) {
             return std::chrono::duration_cast<base::duration>(targetLatency * ratio);
         };
-        return std::clamp(latencyQuantile, scaledTarget(MIN_HEDGE_DELAY_RATIO),
-                          scaledTarget(MAX_HEDGE_DELAY_RATIO));
+        const auto delay = std::clamp(latencyQuantile, scaledTarget(MIN_HEDGE_DELAY_RATIO),
+                                      scaledTarget(MAX_HEDGE_DELAY_RATIO));
+        if (!plansHedges()) {
+            return delay;
+        }
+        return policy::hedge_plan(delay, expectedLatency(request))
+                .nextDelay(base::clock::now(), request.targetTime, request.deadline)
+                .value_or(base::duration::max());
+    }
+
+    auto plansHedges() const -> bool
+    {
+        return m_settings.followsRemoteRoom || m_settings.order == config::waiting_order::Cost;
     }
 
     auto adapterOperations() -> mesh_node_operations
@@ -676,6 +735,7 @@
     //! Evacuations in force.
     base::evacuation_list m_evacuations;
     policy::placement m_placement;
+    policy::placement_limit m_placementLimit;
     upstream_health m_upstreamHealth;
     policy::latency_model m_latencies;
     base::random_source m_random;
--- a/src/caller/hooks.h
+++ b/src/caller/hooks.h
@@ -36,6 +36,8 @@
     bool mayHaveRun = false;
     //! Number of attempts sent so far, refused ones included.
     unsigned attemptCount = 0;
+    //! True if an attempt was sent whose wait for a slot was not limited.
+    bool hasWaited = false;
     std::string requestId;
     base::time_point arrival;
     base::time_point deadline;
@@ -103,6 +105,8 @@
     std::size_t maxBufferedResponseBytes = 0;
     //! True if idempotent requests are retried after a response with a 5xx status.
     bool retriesServerErrors = false;
+    //! True if a hedge that couldn't be started is planned again while `hedgeDelay` gives a time.
+    bool replansHedges = false;
 
     auto operator<=>(const attempt_rules &) const = default;
 };
--- a/src/caller/internal/entry.h
+++ b/src/caller/internal/entry.h
@@ -153,6 +153,8 @@
     std::optional<idempotency_session> m_idempotency;
     // True once an attempt may have started, and no fence proved the opposite.
     bool m_mayHaveRun = false;
+    // True once an attempt was sent whose wait for a slot was not limited.
+    bool m_hasWaited = false;
     unsigned m_totalAttempts = 0;
     // Ended attempts that count towards `maxAttempts`.
     unsigned m_countedAttempts = 0;
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -108,6 +108,7 @@
             m_attempts.runningCount() > 0,
             m_mayHaveRun,
             m_totalAttempts,
+            m_hasWaited,
             m_request.requestId,
             m_arrival,
             m_request.deadline,
@@ -223,6 +224,7 @@
     const bool ignoresHealth = isLastAttempt && m_request.idempotent;
     m_request.minHealth = ignoresHealth ? 0.0 : chosen.minHealth;
     m_request.maxWait = isLastAttempt ? base::duration::max() : chosen.maxWait;
+    m_hasWaited = m_hasWaited || m_request.maxWait == base::duration::max();
     if (m_idempotency) {
         auto claim = co_await m_idempotency->claimForAttempt(m_request, chosen);
         if (claim && std::holds_alternative<idempotency_replay>(*claim)) {
@@ -285,6 +287,9 @@
     }
     const auto chosen = chooseNode();
     if (!chosen || !spendRetryBudget()) {
+        if (m_entryContext.dependencies().hooks.attemptRules.replansHedges && inFlight > 0) {
+            scheduleHedge(m_attempts.runningAttempts().front()->chosen);
+        }
         co_return;
     }
     m_entryContext.dependencies().metrics.countRetry(error_kind::UpstreamTimeout);
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cmath>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -70,7 +71,7 @@
 {
     switch (kind) {
     case base::error_kind::Overloaded:
-        return "health of all upstreams of the service below the minimum";
+        return "no upstream of the service has room and enough health";
     case base::error_kind::PeerUnreachable:
         return "all paths to upstreams of the service in backoff";
     case base::error_kind::NoAllowedRegion:
@@ -151,6 +152,10 @@
     if (isExcluded(request, node.id)) {
         return base::error_kind::NoUpstream;
     }
+    const auto &closedRegions = request.closedRegions;
+    if (std::find(closedRegions.begin(), closedRegions.end(), node.region) != closedRegions.end()) {
+        return base::error_kind::Overloaded;
+    }
     if (isPathInBackoff(node.id, now)) {
         return base::error_kind::PeerUnreachable;
     }
@@ -259,6 +264,46 @@
     return node;
 }
 
+auto placement::roomsFor(const membership::view &view, const placement_request &request,
+                         base::time_point now) const -> std::vector<upstream_room>
+{
+    std::vector<upstream_room> rooms;
+    std::set<base::region_id> choosableRegions;
+    for (const auto &place : view.upstreamsOf(request.service)) {
+        const auto &node = *place.node;
+        const auto refusal = refusalFor(place, request, now);
+        const bool isExcludedNode = refusal == base::error_kind::NoUpstream;
+        const auto &state = stateOf(node.id, request.service);
+        if (place.upstream->state != membership::upstream_state::Ready
+            || (refusal && !isExcludedNode) || estimatedHealth(state, now) < TRIAL_HEALTH_LIMIT) {
+            continue;
+        }
+        if (!isExcludedNode) {
+            choosableRegions.insert(node.region);
+        }
+        rooms.push_back(roomOf(node.region, state, now));
+    }
+    for (auto &room : rooms) {
+        if (!choosableRegions.contains(room.region)) {
+            room.freeSlots = 0.0;
+            room.age = base::duration::zero();
+        }
+    }
+    return rooms;
+}
+
+auto placement::roomOf(const base::region_id &region, const node_service_state &state,
+                       base::time_point now) -> upstream_room
+{
+    if (state.reportedAt == base::time_point{}) {
+        return {region};
+    }
+    const auto usableSlots = std::max(1U, state.load.usableSlots);
+    const double reportedLoad = state.load.busySlots + state.load.waiting;
+    const auto load = std::max<double>(reportedLoad + state.sentSinceReport, state.inFlight);
+    return {region, usableSlots, usableSlots - load, now - state.reportedAt};
+}
+
 auto placement::stateOf(const base::node_id &node, const base::service_id &service) const
         -> const node_service_state &
 {
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 #include "membership/view.h"
 #include "policy/placementscope.h"
+#include "policy/servicebelief.h"
 #include "policy/slots.h"
 
 #include <map>
@@ -42,6 +43,8 @@
     placement_scope scope = {};
     //! Number of nodes that callers are connected to; they share the rate of a cold upstream.
     std::size_t entryNodeCount = 1;
+    //! Regions that are believed to have no room; no request is sent there.
+    std::vector<base::region_id> closedRegions = {};
 };
 
 //! The node chosen for a request.
@@ -96,7 +99,8 @@
     //! Errors: `NoAllowedRegion` or `UpstreamEvacuated` if there are upstreams, but none in the
     //! scope of the request; `NoUpstream`; `UpstreamCold` if each remaining upstream has refused a
     //! request as cold just before; `PeerUnreachable` if every remaining upstream is behind a path
-    //! in backoff; `Overloaded` if the remaining upstreams are below `MIN_NON_IDEMPOTENT_HEALTH`.
+    //! in backoff; `Overloaded` if the remaining upstreams are below `MIN_NON_IDEMPOTENT_HEALTH`
+    //! or in closed regions.
     auto choose(const membership::view &view, const placement_request &request,
                 base::time_point now) -> base::result<placed_request>;
 
@@ -105,6 +109,12 @@
     auto checkPlaceable(const membership::view &view, const placement_request &request,
                         base::time_point now) -> base::result<void>;
 
+    //! Returns what is known of the room of the upstreams that can be chosen and probably respond.
+    //! A region of which all upstreams are excluded has no room for the request.
+    //! Precondition: no region is closed.
+    [[nodiscard]] auto roomsFor(const membership::view &view, const placement_request &request,
+                                base::time_point now) const -> std::vector<upstream_room>;
+
     //! Chooses an upstream that receives a trial request in addition to the request at the chosen
     //! upstream, or null. Candidates are upstreams that stopped responding or have no recent
     //! report; a trial request shows whether they respond again. Together the `entryNodeCount`
@@ -179,6 +189,8 @@
     [[nodiscard]] auto scoreOf(const membership::upstream_place &place,
                                const node_service_state &state, const placement_request &request,
                                base::time_point now) const -> double;
+    static auto roomOf(const base::region_id &region, const node_service_state &state,
+                       base::time_point now) -> upstream_room;
     [[nodiscard]] auto hasFreeSlot(const node_service_state &state, std::uint32_t slots,
                                    base::time_point now) const -> bool;
     [[nodiscard]] auto expectedWait(const node_service_state &state, std::uint32_t usableSlots,
--- a/src/policy/tests/placementfleettest.cpp
+++ b/src/policy/tests/placementfleettest.cpp
@@ -1,5 +1,6 @@
 #include "policy/healthestimator.h"
 #include "policy/placement.h"
+#include "policy/placementlimit.h"
 
 #include <CppUTest/TestHarness.h>
 #include <cmath>
@@ -21,6 +22,7 @@
 constexpr milliseconds MEAN_SERVICE_TIME{450};
 //! Time of a request and its response between two nodes.
 constexpr milliseconds ROUND_TRIP{2};
+constexpr milliseconds REGION_ROUND_TRIP{41};
 constexpr int FAILURE_DOMAIN_COUNT = 4;
 //! Interval in which each healthy upstream should get a request.
 constexpr milliseconds COVERAGE_WINDOW{2000};
@@ -42,6 +44,23 @@
     LastReported,
 };
 
+//! Whether attempts are bounded by a `placement_limit`.
+enum class attempt_bound : std::uint8_t {
+    Count,
+    BelievedRoom,
+};
+
+struct fleet_options
+{
+    int nodeCount = 48;
+    //! Requests per second and node, by region.
+    std::vector<double> requestsPerSecond;
+    own_load ownLoad = own_load::Present;
+    bool upstreamsFail = true;
+    attempt_bound bound = attempt_bound::Count;
+    milliseconds warmUp{6000};
+};
+
 struct fleet_result
 {
     int requestCount = 0;
@@ -49,6 +68,9 @@
     int hungCount = 0;
     //! Requests that no upstream took.
     int refusedCount = 0;
+    //! Attempts in another region than that of the caller, and those of them that were refused.
+    int crossingCount = 0;
+    int refusedCrossingCount = 0;
     //! Smallest share of the healthy upstreams that got a request within `COVERAGE_WINDOW`.
     double minCoverage = 1.0;
 
@@ -56,23 +78,41 @@
     {
         return static_cast<double>(hungCount) / requestCount;
     }
+    [[nodiscard]] auto servedCount() const -> int
+    {
+        return requestCount - hungCount - refusedCount;
+    }
+    [[nodiscard]] auto servedRatio() const -> double
+    {
+        return static_cast<double>(servedCount()) / requestCount;
+    }
+
+    auto add(const fleet_result &other) -> void
+    {
+        requestCount += other.requestCount;
+        hungCount += other.hungCount;
+        refusedCount += other.refusedCount;
+        crossingCount += other.crossingCount;
+        refusedCrossingCount += other.refusedCrossingCount;
+        minCoverage = std::min(minCoverage, other.minCoverage);
+    }
 };
 
-//! Entry nodes of one region, each beside one upstream that hangs for some seconds now and then.
-//! Each node places requests with a `placement` of its own and judges its upstream with a
+//! Entry nodes of one or more regions, each beside one upstream that hangs for some seconds now and
+//! then. Each node places requests with a `placement` of its own and judges its upstream with a
 //! `health_estimator`. Requests arrive at all nodes evenly, a few a second at each, so that a node
 //! hears of few upstreams.
 class placement_fleet
 {
 public:
-    placement_fleet(int nodeCount, double requestsPerSecond, own_load ownLoad, std::uint64_t seed)
-        : m_requestsPerSecond(requestsPerSecond), m_ownLoad(ownLoad), m_random(seed)
+    placement_fleet(fleet_options options, std::uint64_t seed)
+        : m_options(std::move(options)), m_random(seed)
     {
         std::vector<membership::node_entry> entries;
-        for (int i = 0; i < nodeCount; ++i) {
+        for (int i = 0; i < m_options.nodeCount; ++i) {
             membership::node_entry entry;
             entry.id = base::node_id("n" + std::to_string(i));
-            entry.region = base::region_id("r");
+            entry.region = base::region_id("r" + std::to_string(regionOf(i)));
             entry.failureDomain =
                     base::failure_domain_id("d" + std::to_string(i % FAILURE_DOMAIN_COUNT));
             membership::upstream_entry upstream;
@@ -86,8 +126,10 @@
             m_nodes.push_back(std::make_unique<node>(settings, seed * 1000 + i));
         }
         m_view = std::make_unique<membership::view>(1, std::move(entries));
-        for (int i = 0; i < nodeCount; ++i) {
-            schedulePeriodEnd(i);
+        for (int i = 0; i < m_options.nodeCount; ++i) {
+            if (m_options.upstreamsFail) {
+                schedulePeriodEnd(i);
+            }
             scheduleArrival(i);
         }
         scheduleCoverageCheck();
@@ -111,10 +153,11 @@
     struct node
     {
         node(const policy::placement_settings &settings, std::uint64_t seed)
-            : placement(settings, seed), health({}, latencies)
+            : placement(settings, seed), limit(settings.region), health({}, latencies)
         {}
 
         policy::placement placement;
+        policy::placement_limit limit;
         policy::latency_model latencies;
         policy::health_estimator health;
         bool isFailing = false;
@@ -141,6 +184,16 @@
         std::vector<base::node_id> refusedBy;
     };
 
+    [[nodiscard]] auto regionOf(int index) const -> std::size_t
+    {
+        return static_cast<std::size_t>(index) % m_options.requestsPerSecond.size();
+    }
+
+    [[nodiscard]] auto oneWayTime(int from, int to) const -> base::duration
+    {
+        return (regionOf(from) == regionOf(to) ? ROUND_TRIP : REGION_ROUND_TRIP) / 2;
+    }
+
     auto after(base::duration delay, std::function<void()> action) -> void
     {
         m_events.push({m_now + delay, m_nextOrder++, std::move(action)});
@@ -164,7 +217,8 @@
 
     auto scheduleArrival(int index) -> void
     {
-        after(exponential(1.0 / m_requestsPerSecond), [this, index] {
+        const auto rate = m_options.requestsPerSecond.at(regionOf(index));
+        after(exponential(1.0 / rate), [this, index] {
             ++m_result.requestCount;
             place({index, m_random.chance(IDEMPOTENT_SHARE), m_now, {}});
             scheduleArrival(index);
@@ -200,7 +254,7 @@
     {
         auto &entryNode = *m_nodes.at(item.entryNode);
         const auto &entryId = m_view->nodes().at(item.entryNode).id;
-        if (m_ownLoad == own_load::Present) {
+        if (m_options.ownLoad == own_load::Present) {
             entryNode.placement.onLoad(entryId, SERVICE, loadOf(item.entryNode), m_now);
         }
         policy::placement_request wanted;
@@ -211,8 +265,20 @@
         wanted.target = item.arrival + TARGET;
         wanted.deadline = item.arrival + TIMEOUT;
         wanted.expectedServiceTime = MEAN_SERVICE_TIME;
-        const auto placed = entryNode.placement.choose(*m_view, wanted, m_now);
-        if (!placed || item.refusedBy.size() >= MAX_PLACEMENTS) {
+        auto maxAttempts = static_cast<unsigned>(MAX_PLACEMENTS);
+        if (m_options.bound == attempt_bound::BelievedRoom) {
+            const policy::service_belief belief(
+                    entryNode.placement.roomsFor(*m_view, wanted, m_now));
+            const auto limits = entryNode.limit.limitsFor(
+                    SERVICE, belief, static_cast<unsigned>(item.refusedBy.size()), m_now);
+            maxAttempts = limits.maxAttempts;
+            wanted.closedRegions = limits.closedRegions;
+        }
+        const auto placed = item.refusedBy.size() < maxAttempts
+                                    ? entryNode.placement.choose(*m_view, wanted, m_now)
+                                    : base::result<policy::placed_request>(
+                                            base::fail(base::error_kind::Overloaded));
+        if (!placed) {
             ++m_result.refusedCount;
             return;
         }
@@ -221,7 +287,9 @@
         const auto target = placed->node->id;
         const int index = std::stoi(target.str().substr(1));
         const double minHealth = std::max(0.0, placed->health - margin);
-        after(ROUND_TRIP / 2,
+        entryNode.limit.onSent(SERVICE, placed->node->region, m_now);
+        m_result.crossingCount += regionOf(index) == regionOf(item.entryNode) ? 0 : 1;
+        after(oneWayTime(item.entryNode, index),
               [this, item, index, target, minHealth] { execute(item, index, target, minHealth); });
     }
 
@@ -229,9 +297,10 @@
     {
         auto &node = *m_nodes.at(index);
         if (node.health.health(m_now) < minHealth || node.busySlots >= SLOTS) {
+            m_result.refusedCrossingCount += regionOf(index) == regionOf(item.entryNode) ? 0 : 1;
             respond(item.entryNode, index, target, base::error_kind::UpstreamSuspected);
             item.refusedBy.push_back(target);
-            after(ROUND_TRIP / 2, [this, item] { place(item); });
+            after(oneWayTime(index, item.entryNode), [this, item] { place(item); });
             return;
         }
         ++node.busySlots;
@@ -262,12 +331,13 @@
     auto respond(int entryNode, int index, const base::node_id &target,
                  const std::optional<base::error_kind> &failure) -> void
     {
+        m_nodes.at(entryNode)->limit.onEnd(SERVICE, m_view->nodes().at(index).region,
+                                           failure && base::isNotRun(*failure));
         m_nodes.at(entryNode)->placement.onAttemptEnd(target, SERVICE, failure, loadOf(index),
                                                       m_now);
     }
 
-    double m_requestsPerSecond;
-    own_load m_ownLoad;
+    fleet_options m_options;
     base::random_source m_random;
     std::unique_ptr<membership::view> m_view;
     std::vector<std::unique_ptr<node>> m_nodes;
@@ -278,22 +348,41 @@
 };
 
 //! Adds up the results of several seeds.
-auto runFleets(double requestsPerSecond, own_load ownLoad) -> fleet_result
+auto runFleets(const fleet_options &options, std::uint64_t seedCount, milliseconds duration)
+        -> fleet_result
 {
     fleet_result sum;
-    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
-        placement_fleet fleet(48, requestsPerSecond, ownLoad, seed);
-        fleet.run(milliseconds(6000));
+    for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
+        placement_fleet fleet(options, seed);
+        fleet.run(options.warmUp);
         fleet.resetCounts();
-        const auto result = fleet.run(milliseconds(20'000));
-        sum.requestCount += result.requestCount;
-        sum.hungCount += result.hungCount;
-        sum.refusedCount += result.refusedCount;
-        sum.minCoverage = std::min(sum.minCoverage, result.minCoverage);
+        sum.add(fleet.run(duration));
     }
     return sum;
 }
 
+auto runFailingFleets(double requestsPerSecond, own_load ownLoad) -> fleet_result
+{
+    return runFleets({48, {requestsPerSecond}, ownLoad}, 4, milliseconds(20'000));
+}
+
+auto runRegions(std::vector<double> requestsPerSecond, attempt_bound bound) -> fleet_result
+{
+    return runFleets(
+            {24, std::move(requestsPerSecond), own_load::Present, false, bound, milliseconds(2000)},
+            2, milliseconds(4000));
+}
+
+auto describe(const fleet_result &with, const fleet_result &without) -> std::string
+{
+    const auto figures = [](const fleet_result &result) {
+        return std::to_string(result.servedCount()) + " of " + std::to_string(result.requestCount)
+               + " served, " + std::to_string(result.crossingCount) + " crossings, "
+               + std::to_string(result.refusedCrossingCount) + " refused";
+    };
+    return "bounded by room: " + figures(with) + "; by count: " + figures(without);
+}
+
 } // namespace
 
 TEST_GROUP(placement_fleet_test){};
@@ -302,8 +391,8 @@
 // one is known to respond, and against requests to the own upstream while it hangs.
 TEST(placement_fleet_test, presentOwnLoadSavesRequestsFromHangingUpstreams)
 {
-    const auto withPresent = runFleets(5.0, own_load::Present);
-    const auto withLastReported = runFleets(5.0, own_load::LastReported);
+    const auto withPresent = runFailingFleets(5.0, own_load::Present);
+    const auto withLastReported = runFailingFleets(5.0, own_load::LastReported);
     const auto message = "without response " + std::to_string(withPresent.hungRatio()) + " against "
                          + std::to_string(withLastReported.hungRatio());
     CHECK_TEXT(withPresent.hungRatio() < withLastReported.hungRatio(), message.c_str());
@@ -315,10 +404,32 @@
 // requests at each node, the floor of 70% of the healthy upstreams must be in use in each interval.
 TEST(placement_fleet_test, presentOwnLoadKeepsTheFloorInUse)
 {
-    const auto withPresent = runFleets(1.5, own_load::Present);
-    const auto withLastReported = runFleets(1.5, own_load::LastReported);
+    const auto withPresent = runFailingFleets(1.5, own_load::Present);
+    const auto withLastReported = runFailingFleets(1.5, own_load::LastReported);
     const auto message = "in use " + std::to_string(withPresent.minCoverage) + " against "
                          + std::to_string(withLastReported.minCoverage);
     CHECK_TEXT(withPresent.minCoverage >= 0.7, message.c_str());
     CHECK_TEXT(withLastReported.minCoverage < 0.7, message.c_str());
 }
+
+// Guards against work that crosses regions for nothing: a double burst over three regions, none of
+// which has room.
+TEST(placement_fleet_test, burstOverAllRegionsStaysInItsRegions)
+{
+    const auto with = runRegions({36.0, 36.0, 36.0}, attempt_bound::BelievedRoom);
+    const auto without = runRegions({36.0, 36.0, 36.0}, attempt_bound::Count);
+    const auto message = describe(with, without);
+    CHECK_TEXT(with.crossingCount * 2 < without.crossingCount, message.c_str());
+    // The slots limit what is served, not the number of requests.
+    CHECK_TEXT(with.servedCount() >= 0.99 * without.servedCount(), message.c_str());
+}
+
+// Guards against requests that are refused while another region has room.
+TEST(placement_fleet_test, burstInOneRegionUsesTheRoomOfOthers)
+{
+    const auto with = runRegions({36.0, 4.0, 4.0}, attempt_bound::BelievedRoom);
+    const auto without = runRegions({36.0, 4.0, 4.0}, attempt_bound::Count);
+    const auto message = describe(with, without);
+    CHECK_TEXT(with.servedRatio() >= 0.99 * without.servedRatio(), message.c_str());
+    CHECK_TEXT(with.refusedCrossingCount <= without.refusedCrossingCount, message.c_str());
+}
