caller: keep the port of a server that is drained

Cause: caller_server::port() read the acceptor, which a drain closes. Change: the port is kept; the test connects all callers before the stop, which is stricter, since each of them now takes part in it.

--- a/src/caller/internal/callerserver.cpp
+++ b/src/caller/internal/callerserver.cpp
@@ -55,12 +55,13 @@
         m_acceptor.set_option(tcp::acceptor::reuse_address(true));
         m_acceptor.bind(address);
         m_acceptor.listen();
+        m_port = m_acceptor.local_endpoint().port();
         for (std::size_t i = 0; i < contexts.size(); ++i) {
             addWorker(*contexts[i], i);
         }
     }
 
-    [[nodiscard]] auto port() const -> std::uint16_t { return m_acceptor.local_endpoint().port(); }
+    [[nodiscard]] auto port() const -> std::uint16_t { return m_port; }
 
     [[nodiscard]] auto connectionCount() const -> std::size_t { return m_openConnections.load(); }
 
@@ -191,6 +192,8 @@
 
     server_dependencies m_dependencies;
     tcp::acceptor m_acceptor;
+    // Kept, because the acceptor is closed during a drain.
+    std::uint16_t m_port = 0;
     std::vector<io_worker> m_workers;
     std::size_t m_nextWorker = 0;
     std::atomic<std::size_t> m_openConnections{0};
--- a/src/caller/tests/pathtest.cpp
+++ b/src/caller/tests/pathtest.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cstdio>
+#include <memory>
 #include <thread>
 
 using namespace hawthornpick;
@@ -453,14 +454,13 @@
 
 //! Sends requests on a kept connection until the node closes it, and counts those that the upstream
 //! received and whose caller got no complete response.
-auto countCutRequests(std::uint16_t port, scripted_upstream &upstream, const std::string &name)
-        -> int
+auto countCutRequests(std::unique_ptr<raw_client> client, scripted_upstream &upstream,
+                      const std::string &name) -> int
 {
-    raw_client client(port);
-    for (int i = 0; !client.isClosed(); ++i) {
+    for (int i = 0; !client->isClosed(); ++i) {
         const auto id = name + "-" + std::to_string(i) + ";";
-        client.send("GET /open/" + id + " HTTP/1.1\r\nHost: x\r\n\r\n");
-        if (client.readResponse().find("\r\n\r\nx") != std::string::npos) {
+        client->send("GET /open/" + id + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        if (client->readResponse().find("\r\n\r\nx") != std::string::npos) {
             continue;
         }
         const auto heads = upstream.heads();
@@ -488,11 +488,13 @@
         test_node node;
         node.announce("u1", upstream.port(), CALLERS);
         std::atomic<int> cutRequests{0};
+        // All callers are connected before the stop, however late their threads start.
         std::vector<std::thread> callers;
         for (int i = 0; i < CALLERS; ++i) {
-            callers.emplace_back([&, i] {
+            callers.emplace_back([&, client = std::make_unique<raw_client>(node.port()),
+                                  i]() mutable {
                 cutRequests +=
-                        countCutRequests(node.port(), upstream, "caller" + std::to_string(i));
+                        countCutRequests(std::move(client), upstream, "caller" + std::to_string(i));
             });
         }
         CHECK(waitUntil([&upstream] { return upstream.heads().size() >= MIN_REQUESTS; }));
