--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -21,13 +21,11 @@
 {
     int status = 0;
     std::size_t node = 0;
-    std::string body;
 };
 
-auto put(const fleet &f, std::size_t node, std::uint64_t base, std::uint64_t version,
-         const std::string &body, std::int64_t timeoutMs) -> int
+auto put(const fleet &f, std::size_t node, std::uint64_t base, const std::string &body,
+         std::int64_t timeoutMs) -> int
 {
-    (void)version;
     const auto answer = call(f.at(node, CONTROL), "PUT", "/configuration",
                              {{"Host", f.nodes[node]->ip},
                               {"Content-Type", "application/json"},
@@ -46,12 +44,12 @@
     const auto end = nowMs() + 20'000;
     for (std::size_t i = 0; nowMs() < end; ++i) {
         const auto node = (first + i) % f.coreCount();
-        const int status = put(f, node, base, version, body, 1000);
+        const int status = put(f, node, base, body, 1000);
         record.line("operator: PUT version %llu on %llu at %s -> %d",
                     static_cast<unsigned long long>(version),
                     static_cast<unsigned long long>(base), f.nodes[node]->name.c_str(), status);
         if (status == 200 || status == 400 || status == 412) {
-            return {status, node, {}};
+            return {status, node};
         }
         sleepMs(100 + 50 * static_cast<std::int64_t>(std::min<std::size_t>(i, 6)));
     }
--- a/review/support-2/rig.hh
+++ b/review/support-2/rig.hh
@@ -23,6 +23,7 @@
 #include <poll.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -357,6 +358,8 @@
         m_log = log;
         m_id = fork();
         if (m_id == 0) {
+            // The node ends with the program that started it, whatever ends that.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int file = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
             dup2(file, 1);
             dup2(file, 2);
