--- a/review/support-2/instance.hh
+++ b/review/support-2/instance.hh
@@ -4,6 +4,7 @@
 
 #include "rig.hh"
 
+#include <algorithm>
 #include <set>
 
 namespace rig {
@@ -41,9 +42,11 @@
 class instance
 {
 public:
-    instance(address own, address control, std::string service, std::string id, run_log &log)
-        : m_address(std::move(own)), m_control(std::move(control)), m_service(std::move(service)),
-          m_id(std::move(id)), m_log(log)
+    // The instance of a machine, registered at the node beside it.
+    instance(const fleet &f, std::size_t node, std::string id, run_log &log)
+        : m_address(f.at(node, APP)), m_control(f.at(node, CONTROL)),
+          m_service(f.nodes[node]->service), m_zone(f.nodes[node]->zone), m_id(std::move(id)),
+          m_log(log)
     {}
     ~instance()
     {
@@ -106,7 +109,8 @@
         const std::string body = "{\"address\":\"" + m_address.ip + ":" + std::to_string(m_address.port)
                                  + "\",\"born\":" + std::to_string(m_born.load())
                                  + ",\"info\":{\"service\":\"" + m_service
-                                 + "\",\"version\":\"v1\",\"zone\":\"z-a\",\"max_concurrency\":4},"
+                                 + "\",\"version\":\"v1\",\"zone\":\"" + m_zone
+                                 + "\",\"max_concurrency\":" + std::to_string(SLOTS) + "},"
                                    "\"status\":{\"state\":\""
                                  + state + "\",\"sequence_no\":" + std::to_string(++m_sequence)
                                  + ",\"cold_remaining\":\"0ms\"}}";
@@ -117,6 +121,14 @@
     }
 
     auto setDraining() -> void { m_isDraining = true; }
+    // Takes its leave and exits, after it has drained; returns the status of the answer.
+    auto leave() -> int
+    {
+        const auto answer = call(m_control, "DELETE", "/instances/" + m_id, {{"Host", m_control.ip}}, {},
+                                 1000);
+        crash();
+        return answer ? answer->status() : 0;
+    }
     [[nodiscard]] auto id() const -> const std::string & { return m_id; }
     // Time for which a request is worked on.
     std::atomic<int> workMs{20};
@@ -163,7 +175,7 @@
             if (!request || !request->isComplete || !m_isUp) {
                 break;
             }
-            if (!link.send(answerTo(*request), nowMs() + 2000)) {
+            if (!link.send(answerTo(*request), nowMs() + 2000) || m_isDraining) {
                 break;
             }
         }
@@ -177,25 +189,63 @@
         const auto space = line.find(' ');
         const auto method = line.substr(0, space);
         const auto path = line.substr(space + 1, line.find(' ', space + 1) - space - 1);
+        const auto id = request.header("attempt-id");
         if (path == "/health") {
-            return "HTTP/1.1 200 OK\r\nInstance-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n";
+            return format(m_isDraining ? "503 Service Unavailable" : "200 OK",
+                          "Instance-Id: " + m_id + "\r\n", {});
         }
-        const auto id = request.header("attempt-id");
+        if (id.empty()) {
+            return format("400 Bad Request", "Not-Executed: no id\r\n", {});
+        }
+        const auto echo = "Attempt-Id: " + id + "\r\n";
         const auto wanted = request.header("target-instance");
         if (!wanted.empty() && wanted != m_id) {
-            return "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: " + id
-                   + "\r\nNot-Executed: other instance\r\nContent-Length: 0\r\n\r\n";
+            return format("421 Misdirected Request", echo + "Not-Executed: other instance\r\n", {});
+        }
+        const std::int64_t deadline =
+                nowMs() + std::atoll(request.header("deadline-ms").c_str());
+        if (!takeSlot(deadline)) {
+            return format("503 Service Unavailable", echo + "Not-Executed: full\r\n", {});
         }
         m_log.add({nowMs(), id, m_id, method, path, request.body.size()});
-        sleepMs(workMs);
-        const auto body = "answer to " + id;
-        return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Signature: " + m_id + "." + id
-               + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        const auto end = nowMs() + workMs;
+        sleepMs(std::max<std::int64_t>(0, std::min(end, deadline) - nowMs()));
+        m_busy -= 1;
+        const auto signature = echo + "Response-Signature: " + m_id + "." + id + "\r\n";
+        return end <= deadline ? format("200 OK", signature, "answer to " + id)
+                               : format("504 Gateway Timeout", signature, {});
+    }
+
+    auto format(const std::string &status, const std::string &headers, const std::string &body) const
+            -> std::string
+    {
+        return "HTTP/1.1 " + status + "\r\n" + headers + (m_isDraining ? "Connection: close\r\n" : "")
+               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
 
+    // Waits for a slot; a few requests may wait. False: the instance is full, or the deadline passed.
+    auto takeSlot(std::int64_t deadline) -> bool
+    {
+        if (m_waiting.fetch_add(1) >= SLOTS) {
+            --m_waiting;
+            return false;
+        }
+        bool isTaken = false;
+        while (!isTaken && nowMs() < deadline) {
+            int busy = m_busy;
+            isTaken = busy < SLOTS && m_busy.compare_exchange_strong(busy, busy + 1);
+            sleepMs(isTaken ? 0 : 2);
+        }
+        --m_waiting;
+        return isTaken;
+    }
+
+    static constexpr int SLOTS = 4;
+
     address m_address;
     address m_control;
     std::string m_service;
+    std::string m_zone;
     std::string m_id;
     run_log &m_log;
     std::atomic<std::int64_t> m_born{0};
@@ -204,6 +254,8 @@
     std::atomic<bool> m_isStopping{false};
     std::atomic<bool> m_isDraining{false};
     std::atomic<int> m_connections{0};
+    std::atomic<int> m_busy{0};
+    std::atomic<int> m_waiting{0};
     int m_listener = -1;
     std::mutex m_mutex;
     std::set<int> m_files;
