Number forwarded operator requests anew at each start of a node

Callers saw: a core process that had been killed and started again answered PUT /configuration with 200 though the change was never made, and all cores went on returning the version before it.

Cause: a node counted the operator requests that it forwards to the leader from 1 at each start, and took an answer by this number alone. Messages are addressed to a node and not to one process of it, so the leader's late answer to request 1 of the former process ended request 1 of the new one, which was forgotten before it was sent. Evacuation orders and reads pass the same way; a read could return a version older than an acknowledged one.

Ruled out: a change that the group loses. In the case the leader stands still until after the PUT and never gets it, and the test below finds its digest on no disk.

Change: the numbers of a process begin at a random one, as those of control::operator_client do. random_source::firstRequestNumber is now the one place for it. An ignored answer is logged. No change on the wire, so processes of both versions work together.

--- a/src/base/random.h
+++ b/src/base/random.h
@@ -27,6 +27,11 @@
     //! Returns 64 random bits. Thread safety: one thread.
     auto bits() -> std::uint64_t { return m_engine(); }
 
+    //! Returns a number from which a process counts its requests, so that a late answer to an
+    //! earlier process of the same node matches none of them. Below 2^62, which leaves room to
+    //! count. Thread safety: one thread.
+    auto firstRequestNumber() -> std::uint64_t { return bits() >> 2U; }
+
     //! Returns a random attempt id. Thread safety: one thread.
     auto attemptId() -> attempt_id { return {bits(), bits()}; }
 
--- a/src/control/internal/operatorclient.cpp
+++ b/src/control/internal/operatorclient.cpp
@@ -63,8 +63,7 @@
     : m_controllers(std::move(controllers)), m_exchange(exchange), m_random(random)
 {
     chooseRandomTarget();
-    // Starts at a random number, so that replies to an earlier process of this node do not match.
-    m_lastRequestId = static_cast<std::int64_t>(m_random.bits() >> 2);
+    m_lastRequestId = static_cast<std::int64_t>(m_random.firstRequestNumber());
 }
 
 auto operator_client::apply(change_request change, change_callback done, base::time_point now)
--- a/src/quorum/internal/quorumnode.cpp
+++ b/src/quorum/internal/quorumnode.cpp
@@ -38,7 +38,7 @@
           std::function<void(const value_pointer &)> onCommitted)
         : m_settings(std::move(settings)), m_edit(std::move(edit)), m_random(seed),
           m_post(std::move(post)), m_onCommitted(std::move(onCommitted)),
-          m_forwarder(m_settings.replica.self)
+          m_forwarder(m_settings.replica.self, base::random_source(m_random.bits()))
     {}
 
     auto startStorage() -> void
@@ -69,7 +69,10 @@
         if (auto *request = std::get_if<operator_request>(&*content)) {
             m_forwarder.receive(from, std::move(*request), *m_replica, now);
         } else if (auto *answer = std::get_if<operator_answer>(&*content)) {
-            m_forwarder.receive(std::move(*answer), now);
+            if (!m_forwarder.receive(std::move(*answer), now)) {
+                base::log(base::log_level::Info, "late group answer ignored",
+                          {{"from", from.str()}});
+            }
         } else {
             m_replica->receive(from, *content, now);
         }
--- a/src/quorum/internal/requestforwarder.cpp
+++ b/src/quorum/internal/requestforwarder.cpp
@@ -43,9 +43,9 @@
     m_forwardedRequests[replicaRequestId] = {from, requestId};
 }
 
-auto request_forwarder::receive(operator_answer answer, base::time_point now) -> void
+auto request_forwarder::receive(operator_answer answer, base::time_point now) -> bool
 {
-    handleAnswer(answer.requestId, std::move(answer.answer), now);
+    return handleAnswer(answer.requestId, std::move(answer.answer), now);
 }
 
 auto request_forwarder::advance(replica &localReplica, base::time_point now) -> messages
@@ -99,26 +99,27 @@
                 return entry.second.replicaRequestId == completed.requestId;
             });
     if (pending != m_pendingRequests.end()) {
-        handleAnswer(pending->first, std::move(completed.answer), now);
+        (void)handleAnswer(pending->first, std::move(completed.answer), now);
     }
     return {};
 }
 
 auto request_forwarder::handleAnswer(std::uint64_t requestId, group_answer answer,
-                                     base::time_point now) -> void
+                                     base::time_point now) -> bool
 {
     const auto found = m_pendingRequests.find(requestId);
     if (found == m_pendingRequests.end()) {
-        return;
+        return false;
     }
     if (std::holds_alternative<group_unavailable>(answer)) {
         found->second.replicaRequestId.reset();
         found->second.retryAt = now + replica::HEARTBEAT_INTERVAL;
-        return;
+        return true;
     }
     const auto onAnswer = std::move(found->second.onAnswer);
     m_pendingRequests.erase(found);
     onAnswer(std::move(answer));
+    return true;
 }
 
 auto request_forwarder::refuseAll(const std::string &reason) -> void
--- a/src/quorum/messages.h
+++ b/src/quorum/messages.h
@@ -69,7 +69,8 @@
 //! Operator request that a node forwards to the leader.
 struct operator_request
 {
-    //! Chosen by the forwarding node; the answer repeats it.
+    //! Chosen by the process that forwards the request; the answer repeats it. Different for each
+    //! request of all processes of a node.
     std::uint64_t requestId = 0;
     operator_request_kind kind = operator_request_kind::Read;
     //! Used only for a change.
--- a/src/quorum/requestforwarder.h
+++ b/src/quorum/requestforwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/random.h"
 #include "base/time.h"
 #include "quorum/replica.h"
 
@@ -25,7 +26,10 @@
     //! change is safe because its digest identifies it.
     static constexpr base::milliseconds FORWARD_RETRY_INTERVAL{500};
 
-    explicit request_forwarder(base::node_id self) : m_self(std::move(self)) {}
+    //! Precondition: `random` has a different seed at each start of the node.
+    request_forwarder(base::node_id self, base::random_source random)
+        : m_self(std::move(self)), m_lastRequestId(random.firstRequestNumber())
+    {}
 
     //! Takes a request of an operator of this node; `advance` starts it. The answer is
     //! `group_unavailable` if none comes before the deadline.
@@ -36,8 +40,9 @@
     auto receive(const base::node_id &from, operator_request request, replica &localReplica,
                  base::time_point now) -> void;
 
-    //! Handles the answer of another node to a request of this one.
-    auto receive(operator_answer answer, base::time_point now) -> void;
+    //! Handles the answer of another node to a request of this one. Returns false if no request
+    //! waits for it.
+    auto receive(operator_answer answer, base::time_point now) -> bool;
 
     //! Starts, forwards and repeats the requests that are due, and answers the expired ones.
     auto advance(replica &localReplica, base::time_point now) -> messages;
@@ -72,12 +77,13 @@
                         messages &out) -> void;
     // A request that the group could not handle, for example for lack of a leader, is tried again
     // until its deadline.
-    auto handleAnswer(std::uint64_t requestId, group_answer answer, base::time_point now) -> void;
+    auto handleAnswer(std::uint64_t requestId, group_answer answer, base::time_point now) -> bool;
 
     base::node_id m_self;
     std::map<std::uint64_t, pending_request> m_pendingRequests;
     std::map<std::uint64_t, forwarded_request> m_forwardedRequests;
-    std::uint64_t m_lastRequestId = 0;
+    // Answers are addressed to the node and not to one process of it.
+    std::uint64_t m_lastRequestId;
 };
 
 } // namespace hawthornpick::quorum
--- a/src/quorum/tests/quorumfleet.cpp
+++ b/src/quorum/tests/quorumfleet.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+//! Time for which a node tries to answer an operator's call.
+constexpr base::milliseconds CALL_TIMEOUT{2500};
+
 auto appendText(base::config_version /*version*/, const std::string &current,
                 const quorum::config_change &change) -> tl::expected<std::string, std::string>
 {
@@ -20,7 +23,7 @@
 
 quorum_fleet::quorum_fleet(std::uint64_t seed, int nodeCount, int initialMemberCount)
     : m_network(seed, {0.01, 0.01, std::chrono::microseconds(200), std::chrono::milliseconds(25)}),
-      m_nodeCount(nodeCount)
+      m_callRandom(seed), m_nodeCount(nodeCount)
 {
     for (int i = 0; i < initialMemberCount; ++i) {
         m_initialMembers.push_back(nodeName(i));
@@ -43,18 +46,28 @@
     m_replicas[node] = std::make_unique<quorum::replica>(
             options, m_disks[node], appendText, base::random_source(m_network.random().bits()),
             m_network.now());
+    m_forwarders[node] = std::make_unique<quorum::request_forwarder>(
+            node, base::random_source(m_callRandom.bits()));
     m_lastSeenVersions.erase(node);
     m_lastSeenRevisions.erase(node);
     const auto receive = [this, node](const base::node_id &from, base::channel /*kind*/,
                                       std::string_view payload, base::time_point now) {
-        if (const auto content = quorum::decodeMessage(payload)) {
-            m_replicas.at(node)->receive(from, *content, now);
+        auto &replica = *m_replicas.at(node);
+        if (auto content = quorum::decodeMessage(payload)) {
+            if (auto *request = std::get_if<quorum::operator_request>(&*content)) {
+                m_forwarders.at(node)->receive(from, std::move(*request), replica, now);
+            } else if (auto *answer = std::get_if<quorum::operator_answer>(&*content)) {
+                m_forwarders.at(node)->receive(std::move(*answer), now);
+            } else {
+                replica.receive(from, *content, now);
+            }
         }
         deliverResults(node);
         return testsupport::virtual_network::messages{};
     };
     const auto tick = [this, node](base::time_point now) {
         m_replicas.at(node)->tick(now);
+        m_network.send(node, m_forwarders.at(node)->advance(*m_replicas.at(node), now));
         deliverResults(node);
         return testsupport::virtual_network::messages{};
     };
@@ -84,6 +97,7 @@
         }
         m_pendingReads.erase(key);
         onOrderAnswer(node, completed);
+        m_network.send(node, m_forwarders.at(node)->deliver(completed, m_network.now()));
     }
 }
 
@@ -104,20 +118,25 @@
         m_unsentOrders.emplace_back(node, m_orders.size() - 1);
     }
     const auto request = m_orderRequests.find(key);
-    if (request != m_orderRequests.end()
-        && std::holds_alternative<quorum::order_accepted>(completed.answer)) {
-        m_acceptedOrders.insert(request->second);
+    if (request != m_orderRequests.end()) {
+        onOrderResult(request->second, completed.answer);
+    }
+    m_startedOrders.erase(key);
+    m_orderRequests.erase(key);
+}
+
+auto quorum_fleet::onOrderResult(std::size_t order, const quorum::group_answer &answer) -> void
+{
+    if (std::holds_alternative<quorum::order_accepted>(answer)) {
+        m_acceptedOrders.insert(order);
         m_highestAcceptedRevision =
-                std::max(m_highestAcceptedRevision, m_orders.at(request->second).baseRevision + 1);
+                std::max(m_highestAcceptedRevision, m_orders.at(order).baseRevision + 1);
     }
-    if (request != m_orderRequests.end()
-        && std::holds_alternative<quorum::order_outdated>(completed.answer)) {
-        CHECK_TEXT(!m_acceptedOrders.contains(request->second)
+    if (std::holds_alternative<quorum::order_outdated>(answer)) {
+        CHECK_TEXT(!m_acceptedOrders.contains(order)
                            || m_orderByRevision.size() > quorum::MAX_RETAINED_ORDERS,
                    "a repeat of an accepted order was not recognised");
     }
-    m_startedOrders.erase(key);
-    m_orderRequests.erase(key);
 }
 
 auto quorum_fleet::finishWrites() -> void
@@ -163,6 +182,9 @@
         const auto known = m_contentByVersion.try_emplace(value->version, value->content).first;
         CHECK_TEXT(known->second == value->content, "one version has two different contents");
         checkOrders(node, *value);
+        for (const auto &digest : m_refusedDigests) {
+            CHECK_TEXT(!value->hasAcceptedChange(digest), "a refused change is in force");
+        }
     }
 }
 
@@ -225,6 +247,7 @@
     const auto node = nodeName(index);
     m_network.crash(node);
     m_replicas.erase(node);
+    m_forwarders.erase(node);
     m_pendingWrites.erase(node);
     const auto isOfNode = [&](const auto &item) {
         return item.first.first == node;
@@ -252,14 +275,19 @@
     return true;
 }
 
-auto quorum_fleet::submitNewChange(int index) -> bool
+auto quorum_fleet::makeNewChange() -> quorum::config_change
 {
     quorum::config_change change;
     change.version = ++m_lastSubmittedVersion;
     change.body = "v" + std::to_string(change.version) + " ";
     change.digest = "change-" + std::to_string(change.version);
     m_submittedChanges.push_back(change);
-    return submit(index, change);
+    return change;
+}
+
+auto quorum_fleet::submitNewChange(int index) -> bool
+{
+    return submit(index, makeNewChange());
 }
 
 auto quorum_fleet::resubmitChange(int index, std::size_t changeIndex) -> bool
@@ -326,6 +354,102 @@
     deliverResults(node);
 }
 
+auto quorum_fleet::call(const base::node_id &node, quorum::operator_request request,
+                        quorum::request_forwarder::answer_function onAnswer) -> void
+{
+    const auto countAnswer = [this, onAnswer = std::move(onAnswer)](quorum::group_answer answer) {
+        if (!std::holds_alternative<quorum::group_unavailable>(answer)) {
+            ++m_answeredCallCount;
+            onAnswer(std::move(answer));
+        }
+    };
+    m_forwarders.at(node)->submit(std::move(request), m_network.now() + CALL_TIMEOUT, countAnswer);
+}
+
+template <typename Predicate>
+auto quorum_fleet::isOnAnyDisk(const Predicate &predicate) const -> bool
+{
+    return std::any_of(m_disks.begin(), m_disks.end(), [&](const auto &disk) {
+        return disk.second.value && predicate(*disk.second.value);
+    });
+}
+
+auto quorum_fleet::callChange(int index) -> bool
+{
+    if (!isUp(index)) {
+        return false;
+    }
+    const auto change = makeNewChange();
+    call(nodeName(index), {.kind = quorum::operator_request_kind::Change, .change = change},
+         [this, change](const quorum::group_answer &answer) { onChangeAnswer(change, answer); });
+    return true;
+}
+
+auto quorum_fleet::onChangeAnswer(const quorum::config_change &change,
+                                  const quorum::group_answer &answer) -> void
+{
+    const bool isRefused = std::holds_alternative<quorum::change_conflict>(answer)
+                           || std::holds_alternative<quorum::change_invalid>(answer);
+    if (isRefused) {
+        m_refusedDigests.insert(change.digest);
+        return;
+    }
+    CHECK_TEXT(std::holds_alternative<quorum::change_accepted>(answer),
+               "a change got the answer to another kind of request");
+    CHECK_TEXT(isOnAnyDisk([&](const quorum::group_value &value) {
+                   return value.hasAcceptedChange(change.digest);
+               }),
+               "a change was acknowledged that was never made");
+    m_highestAcceptedVersion = std::max(m_highestAcceptedVersion, change.version);
+}
+
+auto quorum_fleet::callRead(int index) -> bool
+{
+    if (!isUp(index)) {
+        return false;
+    }
+    call(nodeName(index), {.kind = quorum::operator_request_kind::Read},
+         [minimumVersion = m_highestAcceptedVersion](const quorum::group_answer &answer) {
+             const auto *document = std::get_if<quorum::current_document>(&answer);
+             CHECK_TEXT(document != nullptr, "a read got the answer to another kind of request");
+             CHECK_TEXT(document->version >= minimumVersion,
+                        "a confirmed read returned a version older than an accepted change");
+         });
+    return true;
+}
+
+auto quorum_fleet::callOrder(int index, const std::string &domain, bool starts) -> bool
+{
+    if (!isUp(index)) {
+        return false;
+    }
+    const auto node = nodeName(index);
+    const auto onRead = [=, this,
+                         minimum = m_highestAcceptedRevision](const quorum::group_answer &answer) {
+        const auto *read = std::get_if<quorum::current_evacuations>(&answer);
+        CHECK_TEXT(read != nullptr, "a read got the answer to another kind of request");
+        CHECK_TEXT(read->list.revision >= minimum,
+                   "a confirmed read of the evacuations lacked an accepted order");
+        const auto number = m_orders.size();
+        m_orders.push_back(
+                {number + 1, read->list.revision, base::failure_domain_id(domain), starts, 0});
+        call(node,
+             {.kind = quorum::operator_request_kind::EvacuationOrder, .order = m_orders.back()},
+             [this, number](const quorum::group_answer &result) {
+                 const bool isAccepted = std::holds_alternative<quorum::order_accepted>(result);
+                 CHECK_TEXT(isAccepted || std::holds_alternative<quorum::order_outdated>(result),
+                            "an order got the answer to another kind of request");
+                 CHECK_TEXT(!isAccepted || isOnAnyDisk([&](const quorum::group_value &value) {
+                     return value.hasAcceptedOrder(number + 1);
+                 }),
+                            "an order was acknowledged that was never made");
+                 onOrderResult(number, result);
+             });
+    };
+    call(node, {.kind = quorum::operator_request_kind::EvacuationRead}, onRead);
+    return true;
+}
+
 auto quorum_fleet::leader() -> int
 {
     int found = -1;
--- a/src/quorum/tests/quorumfleet.h
+++ b/src/quorum/tests/quorumfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "quorum/replica.h"
+#include "quorum/requestforwarder.h"
 #include "tests/support/virtualnetwork.h"
 
 #include <map>
@@ -66,6 +67,15 @@
     auto checkAcceptedOrders(const quorum::group_value &value) const -> void;
     [[nodiscard]] auto acceptedOrderCount() const -> std::size_t { return m_acceptedOrders.size(); }
 
+    //! Requests at a node as an operator's call does: a node that isn't the leader forwards them.
+    //! An acknowledged change or order must be committed, and a refused change must never be. False
+    //! if the node is down.
+    auto callChange(int index) -> bool;
+    auto callRead(int index) -> bool;
+    auto callOrder(int index, const std::string &domain, bool starts) -> bool;
+    //! Answers to these calls other than `group_unavailable`.
+    [[nodiscard]] auto answeredCallCount() const -> int { return m_answeredCallCount; }
+
     //! Index of the ready leader with the highest term; -1 if there is none.
     [[nodiscard]] auto leader() -> int;
     [[nodiscard]] auto highestAcceptedVersion() const -> base::config_version
@@ -103,14 +113,25 @@
     auto submit(int index, const quorum::config_change &change) -> bool;
     auto onOrderAnswer(const base::node_id &node, const quorum::completed_request &completed)
             -> void;
+    auto onOrderResult(std::size_t order, const quorum::group_answer &answer) -> void;
     auto sendOrder(const base::node_id &node, std::size_t order) -> void;
+    auto call(const base::node_id &node, quorum::operator_request request,
+              quorum::request_forwarder::answer_function onAnswer) -> void;
+    auto onChangeAnswer(const quorum::config_change &change, const quorum::group_answer &answer)
+            -> void;
+    auto makeNewChange() -> quorum::config_change;
+    // True if a disk has a value for which the predicate holds.
+    template <typename Predicate>
+    [[nodiscard]] auto isOnAnyDisk(const Predicate &predicate) const -> bool;
     auto checkOrders(const base::node_id &node, const quorum::group_value &value) -> void;
 
     testsupport::virtual_network m_network;
+    base::random_source m_callRandom;
     int m_nodeCount;
     std::vector<base::node_id> m_initialMembers;
     std::map<base::node_id, quorum::durable_state> m_disks;
     std::map<base::node_id, std::unique_ptr<quorum::replica>> m_replicas;
+    std::map<base::node_id, std::unique_ptr<quorum::request_forwarder>> m_forwarders;
     std::map<base::node_id, pending_write> m_pendingWrites;
     std::map<std::pair<base::node_id, std::uint64_t>, pending_read> m_pendingReads;
     std::map<std::pair<base::node_id, std::uint64_t>, base::config_version> m_submittedVersions;
@@ -133,6 +154,8 @@
     base::config_version m_highestAcceptedVersion = 0;
     base::config_version m_lastSubmittedVersion = 0;
     int m_acceptedCount = 0;
+    std::set<std::string> m_refusedDigests;
+    int m_answeredCallCount = 0;
 };
 
 } // namespace hawthornpick::testing
--- a/src/quorum/tests/replicafaultstest.cpp
+++ b/src/quorum/tests/replicafaultstest.cpp
@@ -81,6 +81,29 @@
     }
 }
 
+//! Has an operator call a random node, or kills a node and starts it at once.
+auto applyRandomCall(quorum_fleet &fleet, base::random_source &random) -> void
+{
+    const int node = static_cast<int>(random.below(NODE_COUNT));
+    switch (random.below(5)) {
+    case 0:
+        if (fleet.isUp(node)) {
+            fleet.crash(node);
+            fleet.start(node);
+        }
+        break;
+    case 1:
+        fleet.callRead(node);
+        break;
+    case 2:
+        fleet.callOrder(node, "d" + std::to_string(random.below(3)), random.below(3) > 0);
+        break;
+    default:
+        fleet.callChange(node);
+        break;
+    }
+}
+
 //! Heals the network cuts, resumes and starts all nodes, makes the disks fast again and runs for 10
 //! s, in which the group has to recover.
 auto repairAndRun(quorum_fleet &fleet) -> void
@@ -136,3 +159,34 @@
     }
     CHECK(acceptedOrderCount > 60);
 }
+
+// Guards against acknowledging what a call at any node asked for although it was never made,
+// against making what was refused, and against stale answers to reads, under the faults of the test
+// above and nodes that are killed while calls are on their way.
+TEST(replica_faults, keepsPromisesToCallersOfAnyNodeUnderRandomFaults)
+{
+    int answeredCallCount = 0;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        quorum_fleet fleet(seed, NODE_COUNT, INITIAL_MEMBER_COUNT);
+        base::random_source random(seed * 6007);
+        fleet.run(milliseconds(3000));
+        int wipedNode = -1;
+        for (int i = 0; i < 60; ++i) {
+            applyRandomEvent(fleet, random, wipedNode);
+            for (int calls = 0; calls < 4; ++calls) {
+                fleet.run(milliseconds(20 + random.below(100)));
+                applyRandomCall(fleet, random);
+            }
+            if (i % 20 == 19) {
+                repairAndRun(fleet);
+                wipedNode = -1;
+            }
+        }
+        repairAndRun(fleet);
+        CHECK(fleet.leader() >= 0);
+        CHECK(fleet.replica(fleet.leader()).committed()->version >= fleet.highestAcceptedVersion());
+        fleet.checkAcceptedOrders(*fleet.replica(fleet.leader()).committed());
+        answeredCallCount += fleet.answeredCallCount();
+    }
+    CHECK(answeredCallCount > 40 * 60);
+}
