Accept only an answer that fits the kind of an operator request

request_forwarder ended a request with any answer that bore its number: the current document, sent for a read, would have ended a change, and controlapi answered that with 200.

The kinds are now compared, and an answer that a request can't get is ignored and logged as late answers are. request_forwarder.ignoresAnswersOfAnotherKind failed before the change (the current document ended the change) and passes now.

--- a/src/quorum/internal/requestforwarder.cpp
+++ b/src/quorum/internal/requestforwarder.cpp
@@ -24,6 +24,42 @@
     return localReplica.submit(std::move(request.change), now);
 }
 
+//! Returns true if a request of this kind can get the answer.
+struct is_answer_to
+{
+    operator_request_kind kind;
+
+    auto operator()(const change_accepted & /*answer*/) const -> bool
+    {
+        return kind == operator_request_kind::Change;
+    }
+    auto operator()(const change_conflict & /*answer*/) const -> bool
+    {
+        return kind == operator_request_kind::Change;
+    }
+    auto operator()(const change_invalid & /*answer*/) const -> bool
+    {
+        return kind == operator_request_kind::Change;
+    }
+    auto operator()(const current_document & /*answer*/) const -> bool
+    {
+        return kind == operator_request_kind::Read;
+    }
+    auto operator()(const order_accepted & /*answer*/) const -> bool
+    {
+        return kind == operator_request_kind::EvacuationOrder;
+    }
+    auto operator()(const order_outdated & /*answer*/) const -> bool
+    {
+        return kind == operator_request_kind::EvacuationOrder;
+    }
+    auto operator()(const current_evacuations & /*answer*/) const -> bool
+    {
+        return kind == operator_request_kind::EvacuationRead;
+    }
+    auto operator()(const group_unavailable & /*answer*/) const -> bool { return true; }
+};
+
 } // namespace
 
 auto request_forwarder::submit(operator_request request, base::time_point deadline,
@@ -108,7 +144,8 @@
                                      base::time_point now) -> bool
 {
     const auto found = m_pendingRequests.find(requestId);
-    if (found == m_pendingRequests.end()) {
+    if (found == m_pendingRequests.end()
+        || !std::visit(is_answer_to{found->second.request.kind}, answer)) {
         return false;
     }
     if (std::holds_alternative<group_unavailable>(answer)) {
--- a/src/quorum/requestforwarder.h
+++ b/src/quorum/requestforwarder.h
@@ -41,7 +41,7 @@
                  base::time_point now) -> void;
 
     //! Handles the answer of another node to a request of this one. Returns false if no request
-    //! waits for it.
+    //! waits for it, or one of a kind that doesn't get such an answer.
     auto receive(operator_answer answer, base::time_point now) -> bool;
 
     //! Starts, forwards and repeats the requests that are due, and answers the expired ones.
--- a/src/quorum/tests/requestforwardertest.cpp
+++ b/src/quorum/tests/requestforwardertest.cpp
@@ -64,6 +64,46 @@
     CHECK(fleet.callOrder(node, "d1", true));
 }
 
+const base::node_id SELF("n0");
+const base::node_id OTHER("n1");
+
+auto keepDocument(base::config_version /*version*/, const std::string &current,
+                  const quorum::config_change & /*change*/)
+        -> tl::expected<std::string, std::string>
+{
+    return current;
+}
+
+//! A forwarder with the replica of its node, which follows another node at first, and one call for
+//! a change.
+struct forwarder_fixture
+{
+    forwarder_fixture()
+    {
+        receiveHeartbeat();
+        forwarder.submit({.kind = quorum::operator_request_kind::Change,
+                          .change = {std::nullopt, 1, quorum::change_format::Whole, "a", "digest"}},
+                         now + std::chrono::seconds(10),
+                         [this](quorum::group_answer result) { answer = std::move(result); });
+        const auto sent = forwarder.advance(replica, now);
+        CHECK_EQUAL(1, sent.size());
+        const auto content = quorum::decodeMessage(sent.front().payload);
+        requestId = std::get<quorum::operator_request>(*content).requestId;
+    }
+
+    auto receiveHeartbeat() -> void
+    {
+        const quorum::append_request heartbeat{replica.term() + 1, {OTHER, 0}, 0, {}, nullptr};
+        replica.receive(OTHER, heartbeat, now);
+    }
+
+    base::time_point now{std::chrono::hours(1)};
+    quorum::replica replica{{SELF, {SELF}, {SELF}}, {}, keepDocument, base::random_source(1), now};
+    quorum::request_forwarder forwarder{SELF, base::random_source(2)};
+    std::uint64_t requestId = 0;
+    std::optional<quorum::group_answer> answer;
+};
+
 } // namespace
 
 TEST_GROUP(request_forwarder){};
@@ -119,3 +159,18 @@
         CHECK(fleet.answeredCallCount() >= 1);
     }
 }
+
+// Guards against a change that ends with an answer which only other requests get.
+TEST(request_forwarder, ignoresAnswersOfAnotherKind)
+{
+    forwarder_fixture fixture;
+    const std::vector<quorum::group_answer> others{
+            quorum::current_document{7, "b"}, quorum::order_accepted{}, quorum::order_outdated{},
+            quorum::current_evacuations{}};
+    for (const auto &other : others) {
+        CHECK(!fixture.forwarder.receive({fixture.requestId, other}, fixture.now));
+        CHECK(!fixture.answer);
+    }
+    CHECK(fixture.forwarder.receive({fixture.requestId, quorum::change_accepted{1}}, fixture.now));
+    CHECK(fixture.answer == quorum::group_answer(quorum::change_accepted{1}));
+}
