Number lease rounds anew at each start of a node

Late answers of the witnesses to the first round of a former process were counted for the first round of the new one, whose lease counts from its own, later start. The node could use a version, or hold a lease, after the witnesses' grants had run out, for as long as the answers were late beyond the margin of 100 ms.

Change: rounds begin at a random number. Witnesses compare (incarnation, round), so their order is unaffected, and nothing changes on the wire.

Two tests of currency_client named round 1 in their answers; they take the round from the check that was sent, and check the same. Shown for the decision objects, not with real processes.

--- a/src/lease/currencyclient.h
+++ b/src/lease/currencyclient.h
@@ -40,6 +40,7 @@
     //! which with five witnesses saves two fifths of the messages.
     static constexpr base::milliseconds ASK_REMAINING_DELAY{150};
 
+    //! Precondition: `random` has a different seed at each start of the node.
     currency_client(node_place place, base::random_source random);
 
     //! Sets the configuration version that the node uses. After a change, the next tick sends the
@@ -90,7 +91,7 @@
     base::random_source m_random;
     base::config_version m_version = 0;
     bool m_hasVersionChanged = false;
-    std::int64_t m_lastRoundNumber = 0;
+    std::int64_t m_lastRoundNumber;
     std::deque<check_round> m_rounds;
     version_id m_newestReported;
     base::node_id m_newestReportedBy;
--- a/src/lease/internal/currencyclient.cpp
+++ b/src/lease/internal/currencyclient.cpp
@@ -16,7 +16,8 @@
 } // namespace
 
 currency_client::currency_client(node_place place, base::random_source random)
-    : m_place(std::move(place)), m_random(random)
+    : m_place(std::move(place)), m_random(random),
+      m_lastRoundNumber(static_cast<std::int64_t>(m_random.firstRequestNumber()))
 {}
 
 auto currency_client::setVersion(base::config_version version) -> void
--- a/src/lease/internal/leaseholder.cpp
+++ b/src/lease/internal/leaseholder.cpp
@@ -37,6 +37,7 @@
     if (entry.validUntil) {
         return;
     }
+    entry.round = static_cast<std::int64_t>(m_random.firstRequestNumber());
     entry.validUntil = std::make_shared<deadline_cell>(NOT_HELD_DEADLINE);
     auto updatedDeadlines = std::make_shared<deadline_map>(*m_deadlines.load());
     updatedDeadlines->insert_or_assign(name, entry.validUntil);
--- a/src/lease/leaseholder.h
+++ b/src/lease/leaseholder.h
@@ -30,6 +30,7 @@
     //! Maximum number of claims or releases in one message, so that it fits into a datagram.
     static constexpr std::size_t MAX_CLAIMS_PER_MESSAGE = 16;
 
+    //! Precondition: `random` has a different seed at each start of the node.
     lease_holder(node_place place, base::random_source random);
 
     //! Starts to acquire the lease; renews it, or acquires it again after a loss, until `release`.
--- a/src/lease/tests/leaseholdertest.cpp
+++ b/src/lease/tests/leaseholdertest.cpp
@@ -199,3 +199,39 @@
         simulation.run(200);
     }
 }
+
+// Guards against a lease that outlasts its grants: witnesses grant the first claim of the former
+// process of a node, and the grants come late and are counted for the first claim of the new one.
+TEST(lease_holder_test, grantsToAFormerProcessAreNotCounted)
+{
+    const base::node_id self("h");
+    const std::vector<base::node_id> witnesses{base::node_id("w1"), base::node_id("w2"),
+                                               base::node_id("w3")};
+    const base::time_point start{std::chrono::hours(1)};
+    lease_holder former({self, base::region_id("r"), 1, witnesses}, base::random_source(3));
+    lease_holder restarted({self, base::region_id("r"), 2, witnesses}, base::random_source(4));
+    former.want(LEASE_NAMES.front());
+    restarted.want(LEASE_NAMES.front());
+    const auto claims = former.tick(start);
+    const auto restartedAt = start + base::milliseconds(200);
+    restarted.tick(restartedAt);
+    for (const auto &claim : claims) {
+        auto payload = std::string_view(claim.payload);
+        takeKind(payload);
+        const auto request = base::decodeThrift<wire::lease_request>(payload);
+        wire::lease_answer answer;
+        for (const auto &item : request->items) {
+            wire::lease_result result;
+            result.name = item.name;
+            result.epoch = item.epoch;
+            result.round = item.round;
+            result.granted = true;
+            answer.results.push_back(result);
+        }
+        const auto grant = toMessage(self, base::channel::Lease, message_kind::LeaseAnswer, answer);
+        former.receive(claim.to, grant.payload, restartedAt);
+        restarted.receive(claim.to, grant.payload, restartedAt);
+    }
+    CHECK(former.holds(LEASE_NAMES.front(), restartedAt));
+    CHECK(!restarted.holds(LEASE_NAMES.front(), restartedAt));
+}
--- a/src/lease/tests/witnesstest.cpp
+++ b/src/lease/tests/witnesstest.cpp
@@ -218,7 +218,7 @@
     LONGS_EQUAL(3, checks.size());
     CHECK(!client.isCurrent(START_TIME));
     wire::check_answer answer;
-    answer.round = 1;
+    answer.round = decodeLast<wire::check>(checks).round;
     const auto reply = toMessage(self, base::channel::Currency, message_kind::CheckAnswer, answer);
     const auto answersReceivedAt = START_TIME + base::milliseconds(400);
     client.receive(checks[0].to, reply.payload, answersReceivedAt);
@@ -235,9 +235,8 @@
 {
     currency_client client({base::node_id("n"), base::region_id("r"), 1, WITNESSES},
                            base::random_source(3));
-    client.tick(START_TIME);
     wire::check_answer answer;
-    answer.round = 1;
+    answer.round = decodeLast<wire::check>(client.tick(START_TIME)).round;
     const auto reply =
             toMessage(LEADER, base::channel::Currency, message_kind::CheckAnswer, answer);
     for (int i = 0; i < 5; ++i) {
@@ -245,3 +244,24 @@
     }
     CHECK(!client.isCurrent(START_TIME));
 }
+
+// Guards against a lease that outlasts its grants: answers to the first checks of the former
+// process of a node come late, and are counted as if the first checks of the new one had been
+// answered.
+TEST(currency_client_test, answersToAFormerProcessAreNotCounted)
+{
+    const base::node_id self("n");
+    currency_client former({self, base::region_id("r"), 1, WITNESSES}, base::random_source(3));
+    currency_client restarted({self, base::region_id("r"), 2, WITNESSES}, base::random_source(4));
+    const auto formerChecks = former.tick(START_TIME);
+    const auto restartedAt = START_TIME + base::milliseconds(400);
+    restarted.tick(restartedAt);
+    for (const auto &check : formerChecks) {
+        witness_fixture witness(check.to, 1);
+        witness.recoverFromLeader(0);
+        for (const auto &reply : witness.instance.receive(self, check.payload, START_TIME)) {
+            restarted.receive(check.to, reply.payload, restartedAt);
+        }
+    }
+    CHECK(!restarted.isCurrent(restartedAt));
+}
