Ignore a refusal of a node that does not handle the operator request

A request that was forwarded is handled by the local replica once that becomes the leader, or is sent to the next leader. Nothing was answered wrongly, because repeats are recognised by their digest, but near its deadline a change that was made could be answered 503.

request_forwarder now remembers which node got the newest copy and lets only that one refuse. Definite answers of any node still count: each is confirmed by a majority after the request began.

request_forwarder.lateRefusalOfAFormerLeaderDoesNotEndTheHandlingHere failed with the comparison taken out and passes with it.

--- a/src/quorum/internal/quorumnode.cpp
+++ b/src/quorum/internal/quorumnode.cpp
@@ -69,7 +69,7 @@
         if (auto *request = std::get_if<operator_request>(&*content)) {
             m_forwarder.receive(from, std::move(*request), *m_replica, now);
         } else if (auto *answer = std::get_if<operator_answer>(&*content)) {
-            if (!m_forwarder.receive(std::move(*answer), now)) {
+            if (!m_forwarder.receive(from, std::move(*answer), now)) {
                 base::log(base::log_level::Info, "late group answer ignored",
                           {{"from", from.str()}});
             }
--- a/src/quorum/internal/requestforwarder.cpp
+++ b/src/quorum/internal/requestforwarder.cpp
@@ -68,7 +68,7 @@
     request.requestId = ++m_lastRequestId;
     m_pendingRequests.emplace(
             m_lastRequestId,
-            pending_request{std::move(request), deadline, {}, std::move(onAnswer), {}});
+            pending_request{std::move(request), deadline, {}, std::move(onAnswer), {}, {}});
 }
 
 auto request_forwarder::receive(const base::node_id &from, operator_request request,
@@ -79,9 +79,10 @@
     m_forwardedRequests[replicaRequestId] = {from, requestId};
 }
 
-auto request_forwarder::receive(operator_answer answer, base::time_point now) -> bool
+auto request_forwarder::receive(const base::node_id &from, operator_answer answer,
+                                base::time_point now) -> bool
 {
-    return handleAnswer(answer.requestId, std::move(answer.answer), now);
+    return handleAnswer(from, answer.requestId, std::move(answer.answer), now);
 }
 
 auto request_forwarder::advance(replica &localReplica, base::time_point now) -> messages
@@ -111,11 +112,13 @@
         return;
     }
     if (localReplica.isReadyLeader()) {
+        item.handler = m_self;
         item.replicaRequestId = startOnReplica(item.request, localReplica, now);
         return;
     }
     const auto &leader = localReplica.leader();
     if (!leader.empty() && leader != m_self) {
+        item.handler = leader;
         item.retryAt = now + FORWARD_RETRY_INTERVAL;
         out.push_back({leader, base::channel::Quorum, encodeMessage(item.request)});
     }
@@ -135,13 +138,13 @@
                 return entry.second.replicaRequestId == completed.requestId;
             });
     if (pending != m_pendingRequests.end()) {
-        (void)handleAnswer(pending->first, std::move(completed.answer), now);
+        (void)handleAnswer(m_self, pending->first, std::move(completed.answer), now);
     }
     return {};
 }
 
-auto request_forwarder::handleAnswer(std::uint64_t requestId, group_answer answer,
-                                     base::time_point now) -> bool
+auto request_forwarder::handleAnswer(const base::node_id &from, std::uint64_t requestId,
+                                     group_answer answer, base::time_point now) -> bool
 {
     const auto found = m_pendingRequests.find(requestId);
     if (found == m_pendingRequests.end()
@@ -149,6 +152,9 @@
         return false;
     }
     if (std::holds_alternative<group_unavailable>(answer)) {
+        if (from != found->second.handler) {
+            return false;
+        }
         found->second.replicaRequestId.reset();
         found->second.retryAt = now + replica::HEARTBEAT_INTERVAL;
         return true;
--- a/src/quorum/requestforwarder.h
+++ b/src/quorum/requestforwarder.h
@@ -42,7 +42,7 @@
 
     //! Handles the answer of another node to a request of this one. Returns false if no request
     //! waits for it, or one of a kind that doesn't get such an answer.
-    auto receive(operator_answer answer, base::time_point now) -> bool;
+    auto receive(const base::node_id &from, operator_answer answer, base::time_point now) -> bool;
 
     //! Starts, forwards and repeats the requests that are due, and answers the expired ones.
     auto advance(replica &localReplica, base::time_point now) -> messages;
@@ -62,6 +62,8 @@
         base::time_point deadline;
         base::time_point retryAt;
         answer_function onAnswer;
+        // Node that got the newest copy of the request; empty before the first one.
+        base::node_id handler;
         // Request ID of the local replica while that handles the request.
         std::optional<std::uint64_t> replicaRequestId;
     };
@@ -75,9 +77,11 @@
 
     auto startOrForward(pending_request &item, replica &localReplica, base::time_point now,
                         messages &out) -> void;
-    // A request that the group could not handle, for example for lack of a leader, is tried again
-    // until its deadline.
-    auto handleAnswer(std::uint64_t requestId, group_answer answer, base::time_point now) -> bool;
+    // A request that its handler could not pass to the group, for example for lack of a leader, is
+    // tried again until its deadline. Other nodes that got a copy don't count: the handler may be
+    // at work on it.
+    auto handleAnswer(const base::node_id &from, std::uint64_t requestId, group_answer answer,
+                      base::time_point now) -> bool;
 
     base::node_id m_self;
     std::map<std::uint64_t, pending_request> m_pendingRequests;
--- a/src/quorum/tests/quorumfleet.cpp
+++ b/src/quorum/tests/quorumfleet.cpp
@@ -57,7 +57,7 @@
             if (auto *request = std::get_if<quorum::operator_request>(&*content)) {
                 m_forwarders.at(node)->receive(from, std::move(*request), replica, now);
             } else if (auto *answer = std::get_if<quorum::operator_answer>(&*content)) {
-                m_forwarders.at(node)->receive(std::move(*answer), now);
+                m_forwarders.at(node)->receive(from, std::move(*answer), now);
             } else {
                 replica.receive(from, *content, now);
             }
--- a/src/quorum/tests/requestforwardertest.cpp
+++ b/src/quorum/tests/requestforwardertest.cpp
@@ -168,9 +168,36 @@
             quorum::current_document{7, "b"}, quorum::order_accepted{}, quorum::order_outdated{},
             quorum::current_evacuations{}};
     for (const auto &other : others) {
-        CHECK(!fixture.forwarder.receive({fixture.requestId, other}, fixture.now));
+        CHECK(!fixture.forwarder.receive(OTHER, {fixture.requestId, other}, fixture.now));
         CHECK(!fixture.answer);
     }
-    CHECK(fixture.forwarder.receive({fixture.requestId, quorum::change_accepted{1}}, fixture.now));
+    CHECK(fixture.forwarder.receive(OTHER, {fixture.requestId, quorum::change_accepted{1}},
+                                    fixture.now));
+    CHECK(fixture.answer == quorum::group_answer(quorum::change_accepted{1}));
+}
+
+// Guards against dropping the answer of the local replica to a request that was forwarded before:
+// the refusal of the former leader, which comes late, ended the handling of the request here.
+TEST(request_forwarder, lateRefusalOfAFormerLeaderDoesNotEndTheHandlingHere)
+{
+    forwarder_fixture fixture;
+    auto &replica = fixture.replica;
+    for (int i = 0; i < 100 && !replica.isReadyLeader(); ++i) {
+        fixture.now += milliseconds(50);
+        replica.tick(fixture.now);
+        while (const auto job = replica.takeStorageJob()) {
+            replica.onStatePersisted(job->revision, fixture.now);
+        }
+    }
+    CHECK(replica.isReadyLeader());
+    (void)fixture.forwarder.advance(replica, fixture.now);
+    CHECK(!fixture.forwarder.receive(
+            OTHER, {fixture.requestId, quorum::group_unavailable{"not the leader"}}, fixture.now));
+    const auto job = replica.takeStorageJob();
+    CHECK(job.has_value());
+    replica.onStatePersisted(job->revision, fixture.now);
+    for (auto &completed : replica.takeCompletedRequests()) {
+        (void)fixture.forwarder.deliver(std::move(completed), fixture.now);
+    }
     CHECK(fixture.answer == quorum::group_answer(quorum::change_accepted{1}));
 }
