Ignore the directory in a hub's answer to a former process

The same cause as in the directory: the answer to a report has the records that the asking process lacked, and the position which that process reached with them. A late answer to a former process gave its successor that position without the records. Usually the answer to the successor's own report brings them a moment later; if that one is lost, the node asks for changes after the position only, and knows no upstream of most nodes until their records change. It also took the directory for complete, which ends the time in which it asks for the departures that a former process acknowledged.

The answer repeats the time at which the report was sent, by the steady clock of the host. reporter keeps the time of its first report and takes only the committed document and the evacuations from an answer to an earlier one. Hubs of former versions that repeat no time are believed as before.

directory.restartedNodeGetsTheWholeDirectoryAfterALateAnswerToItsFormerProcess failed before the change (not all of the six upstreams of other nodes were known 3 s later) and passes now. Shown in virtual time, where the node's own answer is lost, not with real processes.

--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -202,6 +202,10 @@
         applyDocument(*answer.document);
     }
     confirmVersion(from, answer);
+    if (isForFormerProcess(answer)) {
+        m_callbacks.onLateAnswer(from, now - answer.reportSentAt);
+        return {};
+    }
     if (from != m_hub) {
         return onAnswerOfOtherHub(from, answer, now);
     }
@@ -308,6 +312,15 @@
     }
 }
 
+// Such an answer has only the records that the former process lacked, and its position would hide
+// the others. Times are sent in milliseconds; hubs of former versions don't repeat them.
+auto reporter::isForFormerProcess(const report_answer &answer) const -> bool
+{
+    const bool hasTime = answer.reportSentAt != base::time_point{};
+    return hasTime && m_firstReportAt
+           && *m_firstReportAt - answer.reportSentAt >= base::milliseconds(1);
+}
+
 // An answer may leave out the document although the hub has a newer one.
 auto reporter::confirmVersion(const base::node_id &from, const report_answer &answer) -> void
 {
@@ -378,6 +391,7 @@
         nodeReport.tellsDepartures = true;
     }
     nodeReport.sentAt = now;
+    m_firstReportAt = m_firstReportAt.value_or(now);
     nodeReport.evacuationRevision = m_evacuations.revision;
     if (m_evacuations.revision > m_evacuationRevisionOfHub) {
         nodeReport.evacuations = m_evacuations;
@@ -491,6 +505,7 @@
             m_probeSentAt = now;
             report probe{m_self, {}, m_configVersion, {}, true};
             probe.sentAt = now;
+            m_firstReportAt = m_firstReportAt.value_or(now);
             probe.evacuationRevision = m_evacuations.revision;
             return {toOutgoingMessage(hub, probe)};
         }
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -157,6 +158,7 @@
                             base::time_point now) -> messages;
     auto returnToHub(const base::node_id &hub, base::time_point now) -> messages;
     auto applyDocument(const config_document &document) -> void;
+    [[nodiscard]] auto isForFormerProcess(const report_answer &answer) const -> bool;
     auto confirmVersion(const base::node_id &from, const report_answer &answer) -> void;
     auto sendReport(base::time_point now) -> messages;
     auto sendUsageUpdate(base::time_point now) -> messages;
@@ -190,6 +192,8 @@
     base::time_point m_nextReportAt;
     base::time_point m_nextUsageUpdateAt;
     base::time_point m_reportSentAt;
+    //! Time of the first report or probe of this process.
+    std::optional<base::time_point> m_firstReportAt;
     bool m_isAwaitingAnswer = false;
     //! Consecutive reports to `m_hub` without an answer.
     int m_unansweredReports = 0;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -1568,3 +1568,36 @@
         CHECK_EQUAL(7U, fleet.node(i).evacuations.revision);
     }
 }
+
+// Guards against a restarted node that misses most of the directory for good: the answer to a
+// report of its former process comes late, with only what that process lacked, and the new process
+// takes over the position that the former one had reached.
+TEST(directory, restartedNodeGetsTheWholeDirectoryAfterALateAnswerToItsFormerProcess)
+{
+    directory_fleet fleet(8, 1, {0});
+    fleet.run(milliseconds(2500));
+    for (int i = 1; i < 8; ++i) {
+        fleet.node(i).reporter->setUpstreams({makeUpstream("u" + std::to_string(i))});
+    }
+    fleet.run(milliseconds(3000));
+    const auto node = nodeIdOf(6);
+    const auto hub = nodeIdOf(0);
+    const auto now = fleet.network().now();
+    fleet::report formerReport;
+    formerReport.sender = fleet.node(6).reporter->self();
+    formerReport.cursor = fleet.node(0).hub->records().cursor();
+    formerReport.sentAt = now;
+    const auto lateAnswer = fleet.node(0).hub->receive(node, formerReport, now);
+    fleet.run(milliseconds(100));
+    fleet.network().cut(hub, node);
+    fleet.startNode(6, false, 2);
+    fleet.run(milliseconds(100));
+    fleet.network().healAll();
+    fleet.network().send(hub, lateAnswer);
+    fleet.run(milliseconds(10));
+    const bool hadCompleteDirectory = fleet.node(6).hasCompleteDirectory;
+    fleet.run(milliseconds(3000));
+    CHECK_EQUAL(6, fleet.upstreamCountSeenBy(6));
+    CHECK(fleet.node(6).hasCompleteDirectory);
+    CHECK(!hadCompleteDirectory);
+}
