Ignore the position in a hub's answer to a former process of another hub

A restarted hub took the position from a late answer to its former process. If the answer to its own first request was lost, it never got the other records, and passed an incomplete directory on to its nodes.

sync_answer::sinceChange, which pushes already have, now also tells in an answer from which position on the records are complete; it stays unset in an answer with all records, which is complete for any reader. The reader's check is the existing one.

--- a/src/fleet/idl/fleetwire.thrift
+++ b/src/fleet/idl/fleetwire.thrift
@@ -175,8 +175,7 @@
   20: optional usage_span span
   // Usage of other regions that the sender has got.
   21: optional list<region_usage> other_regions
-  // Set if the message answers no request: `records` are complete only for a reader with at least
-  // this position.
+  // Set if `records` are complete only for a reader with at least this position.
   22: optional i64 since_change
   // Version of the receiver's record that the sender holds.
   23: optional record_version stored
--- a/src/fleet/internal/hub.cpp
+++ b/src/fleet/internal/hub.cpp
@@ -258,6 +258,9 @@
     answer.isDirectoryComplete = isDirectoryComplete(now);
     answer.evacuations = newerEvacuations(content.evacuationRevision);
     peer.evacuationRevision = content.evacuationRevision;
+    if (m_records.contains(content.cursor)) {
+        answer.sinceChange = content.cursor.changeNumber;
+    }
     if (regionOf(from) != self().entry.region) {
         const auto sum = regionUsage(now);
         const auto isExact = [&](const base::organisation_id &organisation) {
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -233,8 +233,9 @@
     bool isDirectoryComplete = false;
     //! Usage of other regions that the sender has got; set only if the receiver is in its region.
     std::vector<region_usage> otherRegions = {};
-    //! Set if the message answers no request: `records` are complete only for a reader with at
-    //! least this change number.
+    //! Set if `records` are complete only for a reader with at least this change number; otherwise
+    //! they are for any reader. The answer may reach a later process of the node than the one that
+    //! asked.
     std::optional<std::uint64_t> sinceChange = std::nullopt;
     //! Version of the receiver's record that the sender holds.
     std::optional<record_version> stored = std::nullopt;
--- a/src/fleet/tests/directorytest.cpp
+++ b/src/fleet/tests/directorytest.cpp
@@ -1601,3 +1601,41 @@
     CHECK(fleet.node(6).hasCompleteDirectory);
     CHECK(!hadCompleteDirectory);
 }
+
+// Guards against the same for a restarted hub and the late answer of another hub.
+TEST(directory, restartedHubGetsTheWholeDirectoryAfterALateAnswerToItsFormerProcess)
+{
+    directory_fleet fleet(12, 4);
+    fleet.run(milliseconds(2500));
+    for (int i = 4; i < 12; ++i) {
+        fleet.node(i).reporter->setUpstreams({makeUpstream("u" + std::to_string(i))});
+    }
+    fleet.run(milliseconds(4000));
+    // Hubs 0 and 2 are in one region.
+    const auto restarted = nodeIdOf(2);
+    auto &other = *fleet.node(0).hub;
+    int changedNode = 4;
+    while (fleet.node(changedNode).currentHub != nodeIdOf(0)) {
+        ++changedNode;
+    }
+    const auto formerCursor = other.records().cursor();
+    fleet.node(changedNode).reporter->setUpstreams({makeUpstream("changed")});
+    fleet.run(milliseconds(700));
+    fleet::sync_request formerRequest;
+    formerRequest.sender = fleet.node(2).reporter->self();
+    formerRequest.cursor = formerCursor;
+    const auto lateAnswer = other.receive(restarted, formerRequest, fleet.network().now());
+    CHECK_EQUAL(1, lateAnswer.size());
+    fleet.network().cut(nodeIdOf(0), restarted);
+    fleet.startNode(2, true, 2);
+    fleet.run(milliseconds(100));
+    fleet.network().healAll();
+    fleet.network().send(nodeIdOf(0), lateAnswer);
+    fleet.run(milliseconds(4000));
+    const auto &records = fleet.node(2).hub->records();
+    for (int i = 4; i < 12; ++i) {
+        const auto *record = records.find(nodeIdOf(i));
+        CHECK(record != nullptr);
+        CHECK(!record->entry.upstreams.empty());
+    }
+}
