Take the start of a reporter from its first tick

The time from which answers count as those to this process was set at two places that send reports. The first tick comes before both.

--- a/src/fleet/internal/reporter.cpp
+++ b/src/fleet/internal/reporter.cpp
@@ -47,6 +47,7 @@
 
 auto reporter::tick(base::time_point now) -> messages
 {
+    m_startedAt = m_startedAt.value_or(now);
     auto out = advance(now);
     if (now < m_storeRequestsEnd && now >= m_nextStoreRequestAt && !isStored(m_self.sequence)) {
         auto requests = sendStoreRequests(now);
@@ -317,8 +318,7 @@
 auto reporter::isForFormerProcess(const report_answer &answer) const -> bool
 {
     const bool hasTime = answer.reportSentAt != base::time_point{};
-    return hasTime && m_firstReportAt
-           && *m_firstReportAt - answer.reportSentAt >= base::milliseconds(1);
+    return hasTime && m_startedAt && *m_startedAt - answer.reportSentAt >= base::milliseconds(1);
 }
 
 // An answer may leave out the document although the hub has a newer one.
@@ -391,7 +391,6 @@
         nodeReport.tellsDepartures = true;
     }
     nodeReport.sentAt = now;
-    m_firstReportAt = m_firstReportAt.value_or(now);
     nodeReport.evacuationRevision = m_evacuations.revision;
     if (m_evacuations.revision > m_evacuationRevisionOfHub) {
         nodeReport.evacuations = m_evacuations;
@@ -505,7 +504,6 @@
             m_probeSentAt = now;
             report probe{m_self, {}, m_configVersion, {}, true};
             probe.sentAt = now;
-            m_firstReportAt = m_firstReportAt.value_or(now);
             probe.evacuationRevision = m_evacuations.revision;
             return {toOutgoingMessage(hub, probe)};
         }
--- a/src/fleet/reporter.h
+++ b/src/fleet/reporter.h
@@ -192,8 +192,8 @@
     base::time_point m_nextReportAt;
     base::time_point m_nextUsageUpdateAt;
     base::time_point m_reportSentAt;
-    //! Time of the first report or probe of this process.
-    std::optional<base::time_point> m_firstReportAt;
+    //! Time of the first `tick`; all reports of this process are sent from then on.
+    std::optional<base::time_point> m_startedAt;
     bool m_isAwaitingAnswer = false;
     //! Consecutive reports to `m_hub` without an answer.
     int m_unansweredReports = 0;
