--- a/tests/mesh/changingfleet.cpp
+++ b/tests/mesh/changingfleet.cpp
@@ -43,15 +43,21 @@
 
 auto changing_fleet::addRoute(base::milliseconds limit) -> bool
 {
-    constexpr unsigned NARROW_RATE = 1000;
     const auto end = base::clock::now() + limit;
     for (int attempt = 0; base::clock::now() < end; ++attempt) {
-        http_client client(m_fleet.controlAddress(attempt % m_fleet.cores()));
-        const auto answer = client.send("PUT", std::string(messages::CONFIGURATION_PATH),
-                                        messages::changeHeaders(m_version),
-                                        messages::configuration(m_version + 1, NARROW_RATE));
-        if (answer && answer->status == 200) {
-            ++m_version;
+        if (tryToAddRoute(attempt % m_fleet.cores())) {
+            return true;
+        }
+        std::this_thread::sleep_for(POLL_INTERVAL);
+    }
+    return false;
+}
+
+auto changing_fleet::addRouteAt(int core, base::milliseconds limit) -> bool
+{
+    const auto end = base::clock::now() + limit;
+    while (base::clock::now() < end) {
+        if (tryToAddRoute(core)) {
             return true;
         }
         std::this_thread::sleep_for(POLL_INTERVAL);
@@ -59,6 +65,18 @@
     return false;
 }
 
+auto changing_fleet::tryToAddRoute(int core) -> bool
+{
+    constexpr unsigned NARROW_RATE = 1000;
+    http_client client(m_fleet.controlAddress(core));
+    const auto answer = client.send("PUT", std::string(messages::CONFIGURATION_PATH),
+                                    messages::changeHeaders(m_version),
+                                    messages::configuration(m_version + 1, NARROW_RATE));
+    const bool isAccepted = answer && answer->status == 200;
+    m_version += isAccepted ? 1 : 0;
+    return isAccepted;
+}
+
 auto changing_fleet::checkAddedRoutesAreServed() -> void
 {
     for (int change = 0; change < CHECKED_CHANGES; ++change) {
--- a/tests/mesh/changingfleet.h
+++ b/tests/mesh/changingfleet.h
@@ -26,6 +26,8 @@
     //! Replaces the configuration by one with another route; returns true once the change is
     //! acknowledged, and false after `limit`.
     auto addRoute(base::milliseconds limit) -> bool;
+    //! As `addRoute`, with all attempts at one core node.
+    auto addRouteAt(int core, base::milliseconds limit) -> bool;
 
     //! Checks that each of several added routes is served by all nodes `APPLY_TIME` later.
     auto checkAddedRoutesAreServed() -> void;
@@ -43,6 +45,8 @@
     auto countCoresWithoutVersion() -> int;
 
 private:
+    auto tryToAddRoute(int core) -> bool;
+
     testsupport::fleet_size m_size;
     testsupport::mesh_fleet m_fleet;
     std::uint64_t m_version = 1;
