Use one loop for the attempts of changing_fleet

addRoute and addRouteAt, added with the test of restarted cores, had the same loop with another choice of the core. addRouteAt takes the cores to try in turn, and addRoute passes all of them.

The attempts, their order and the assertions of the tests stay as they were.

--- a/tests/mesh/changingfleet.cpp
+++ b/tests/mesh/changingfleet.cpp
@@ -6,6 +6,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <iostream>
+#include <numeric>
 #include <thread>
 #include <unistd.h>
 
@@ -43,21 +44,22 @@
 
 auto changing_fleet::addRoute(base::milliseconds limit) -> bool
 {
-    const auto end = base::clock::now() + limit;
-    for (int attempt = 0; base::clock::now() < end; ++attempt) {
-        if (tryToAddRoute(attempt % m_fleet.cores())) {
-            return true;
-        }
-        std::this_thread::sleep_for(POLL_INTERVAL);
-    }
-    return false;
+    std::vector<int> cores(static_cast<std::size_t>(m_fleet.cores()));
+    std::iota(cores.begin(), cores.end(), 0);
+    return addRouteAt(cores, limit);
 }
 
-auto changing_fleet::addRouteAt(int core, base::milliseconds limit) -> bool
+auto changing_fleet::addRouteAt(const std::vector<int> &cores, base::milliseconds limit) -> bool
 {
+    constexpr unsigned NARROW_RATE = 1000;
     const auto end = base::clock::now() + limit;
-    while (base::clock::now() < end) {
-        if (tryToAddRoute(core)) {
+    for (std::size_t attempt = 0; base::clock::now() < end; ++attempt) {
+        http_client client(m_fleet.controlAddress(cores.at(attempt % cores.size())));
+        const auto answer = client.send("PUT", std::string(messages::CONFIGURATION_PATH),
+                                        messages::changeHeaders(m_version),
+                                        messages::configuration(m_version + 1, NARROW_RATE));
+        if (answer && answer->status == 200) {
+            ++m_version;
             return true;
         }
         std::this_thread::sleep_for(POLL_INTERVAL);
@@ -65,18 +67,6 @@
     return false;
 }
 
-auto changing_fleet::tryToAddRoute(int core) -> bool
-{
-    constexpr unsigned NARROW_RATE = 1000;
-    http_client client(m_fleet.controlAddress(core));
-    const auto answer = client.send("PUT", std::string(messages::CONFIGURATION_PATH),
-                                    messages::changeHeaders(m_version),
-                                    messages::configuration(m_version + 1, NARROW_RATE));
-    const bool isAccepted = answer && answer->status == 200;
-    m_version += isAccepted ? 1 : 0;
-    return isAccepted;
-}
-
 auto changing_fleet::checkAddedRoutesAreServed() -> void
 {
     for (int change = 0; change < CHECKED_CHANGES; ++change) {
--- a/tests/mesh/changingfleet.h
+++ b/tests/mesh/changingfleet.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace hawthornpick::meshtest {
 
@@ -26,8 +27,8 @@
     //! Replaces the configuration by one with another route; returns true once the change is
     //! acknowledged, and false after `limit`.
     auto addRoute(base::milliseconds limit) -> bool;
-    //! As `addRoute`, with all attempts at one core node.
-    auto addRouteAt(int core, base::milliseconds limit) -> bool;
+    //! As `addRoute`, at these core nodes in turn. Precondition: `cores` is not empty.
+    auto addRouteAt(const std::vector<int> &cores, base::milliseconds limit) -> bool;
 
     //! Checks that each of several added routes is served by all nodes `APPLY_TIME` later.
     auto checkAddedRoutesAreServed() -> void;
@@ -45,8 +46,6 @@
     auto countCoresWithoutVersion() -> int;
 
 private:
-    auto tryToAddRoute(int core) -> bool;
-
     testsupport::fleet_size m_size;
     testsupport::mesh_fleet m_fleet;
     std::uint64_t m_version = 1;
--- a/tests/mesh/lateanswertest.cpp
+++ b/tests/mesh/lateanswertest.cpp
@@ -115,7 +115,7 @@
         fleet.nodes().kill(core);
         fleet.nodes().start(core);
         bool isAcknowledged = false;
-        std::jthread change([&] { isAcknowledged = fleet.addRouteAt(core, CHANGE_LIMIT); });
+        std::jthread change([&] { isAcknowledged = fleet.addRouteAt({core}, CHANGE_LIMIT); });
         std::this_thread::sleep_for(RESTART_TIME);
         signalOthers(SIGCONT);
         read.join();
