Rename cold_starts to start_gates

The class is about to keep further limits of the starts of requests at the upstreams of a host than their coldness: those that the upstreams name themselves. Names only, no behaviour.

--- a/src/app/internal/meshnode.cpp
+++ b/src/app/internal/meshnode.cpp
@@ -352,7 +352,7 @@
             return;
         }
         if (!isEvacuated) {
-            m_upstreams.registry().coldStarts()->onDoubtOfAll(base::clock::now());
+            m_upstreams.registry().startGates()->onDoubtOfAll(base::clock::now());
             return;
         }
         for (const auto &[service, queue] : m_upstreams.registry().table().load()->queues()) {
--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -2,10 +2,10 @@
 
 #include "config/snapshot.h"
 #include "peer/link.h"
-#include "upstream/coldstarts.h"
 #include "upstream/exchange.h"
 #include "upstream/hooks.h"
 #include "upstream/registry.h"
+#include "upstream/startgates.h"
 #include "upstream/wireprofile.h"
 
 #include <boost/asio/io_context.hpp>
@@ -38,8 +38,8 @@
     executor_hooks hooks;
     wire_profile wire = {};
     executor_options options = {};
-    std::shared_ptr<cold_starts> coldStarts = std::make_shared<cold_starts>();
-    //! Asks an upstream that is in doubt for its state and then calls `cold_starts::endQuestion`.
+    std::shared_ptr<start_gates> startGates = std::make_shared<start_gates>();
+    //! Asks an upstream that is in doubt for its state and then calls `start_gates::endQuestion`.
     //! Thread safety: any thread.
     std::function<void(const base::upstream_id &upstream)> askUpstream = {};
 };
--- a/src/upstream/internal/coldprobe.cpp
+++ b/src/upstream/internal/coldprobe.cpp
@@ -83,9 +83,9 @@
 
 cold_probe::cold_probe(asio::io_context &context, const config::snapshot_cell &configuration,
                        const upstream_table_cell &upstreams,
-                       std::shared_ptr<cold_starts> coldStarts, wire_profile wire, double overage)
+                       std::shared_ptr<start_gates> startGates, wire_profile wire, double overage)
     : m_context(context), m_configuration(configuration), m_upstreams(upstreams),
-      m_coldStarts(std::move(coldStarts)), m_wire(std::move(wire)), m_overage(overage)
+      m_startGates(std::move(startGates)), m_wire(std::move(wire)), m_overage(overage)
 {}
 
 auto cold_probe::ask(const base::upstream_id &upstream) -> void
@@ -136,7 +136,7 @@
         -> asio::awaitable<void>
 {
     co_await self->askAndWatch(upstream);
-    self->m_coldStarts->endQuestion(upstream);
+    self->m_startGates->endQuestion(upstream);
 }
 
 auto cold_probe::askAndWatch(const base::upstream_id &upstream) -> asio::awaitable<void>
@@ -150,7 +150,7 @@
             break;
         }
         if (!target) {
-            m_coldStarts->cancelReservation(upstream);
+            m_startGates->cancelReservation(upstream);
             break;
         }
         scheduleNextQuestion(upstream);
@@ -166,7 +166,7 @@
             break;
         }
         m_nextQuestions[upstream].interval = base::milliseconds(0);
-        m_coldStarts->endQuestion(upstream);
+        m_startGates->endQuestion(upstream);
         isWanted = co_await watch(state, *target);
     }
     m_open.erase(upstream);
@@ -190,17 +190,17 @@
         const auto target = targetOf(upstream);
         const auto now = base::clock::now();
         if (!target
-            || !m_coldStarts->isInDoubt(upstream, target->record->entry.incarnation, target->terms,
+            || !m_startGates->isInDoubt(upstream, target->record->entry.incarnation, target->terms,
                                         now)) {
             co_return false;
         }
         const auto next = m_nextQuestions.find(upstream);
         auto askTime = next == m_nextQuestions.end() ? now : next->second.time;
         if (askTime <= now) {
-            if (m_coldStarts->tryReserveQuestion(upstream, target->terms, now)) {
+            if (m_startGates->tryReserveQuestion(upstream, target->terms, now)) {
                 co_return true;
             }
-            askTime = m_coldStarts->nextStart(upstream, target->terms, now);
+            askTime = m_startGates->nextStart(upstream, target->terms, now);
         }
         if (askTime == base::time_point::max()) {
             co_return false;
@@ -220,7 +220,7 @@
     const auto [error] = co_await socket.async_connect(endpoint, AS_TUPLE);
     const bool isOpen = !error && socket.is_open();
     if (!isOpen) {
-        m_coldStarts->cancelReservation(record.entry.id);
+        m_startGates->cancelReservation(record.entry.id);
     }
     co_return isOpen;
 }
@@ -240,7 +240,7 @@
     auto &socket = state.socket;
     setTimeLimit(state);
     const auto askTime = base::clock::now();
-    m_coldStarts->onSent(id, target.terms, askTime);
+    m_startGates->onSent(id, target.terms, askTime);
     const auto bytes = formatQuestion(target.path, record.address);
     const auto [writeError, written] =
             co_await asio::async_write(socket, asio::buffer(bytes), AS_TUPLE);
@@ -260,7 +260,7 @@
     if (!coldTime || headerOf(answer, m_wire.upstreamId) != record.name) {
         co_return false;
     }
-    m_coldStarts->onAnswer(id, record.entry.incarnation, *coldTime, askTime, base::clock::now());
+    m_startGates->onAnswer(id, record.entry.incarnation, *coldTime, askTime, base::clock::now());
     state.idleTime = idleTimeIn(answer);
     co_return true;
 }
@@ -271,12 +271,12 @@
 {
     const auto &id = target.record->entry.id;
     const auto idleSince = base::clock::now();
-    m_coldStarts->setWatched(id, true);
+    m_startGates->setWatched(id, true);
     state.isWatched = true;
     std::array<char, 1> byte{};
     const auto [error, count] = co_await state.socket.async_read_some(asio::buffer(byte), AS_TUPLE);
     state.isWatched = false;
-    m_coldStarts->setWatched(id, false);
+    m_startGates->setWatched(id, false);
     if (m_isStopped) {
         co_return false;
     }
@@ -288,7 +288,7 @@
     const bool isIdleClose =
             error == asio::error::eof && now + IDLE_TIME_TOLERANCE >= idleSince + *state.idleTime;
     if (error && !isIdleClose) {
-        m_coldStarts->onDoubt(id, target.record->entry.incarnation, now);
+        m_startGates->onDoubt(id, target.record->entry.incarnation, now);
     }
     co_return false;
 }
--- a/src/upstream/internal/coldprobe.h
+++ b/src/upstream/internal/coldprobe.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "config/snapshot.h"
-#include "upstream/coldstarts.h"
 #include "upstream/deadlinetimer.h"
 #include "upstream/registry.h"
+#include "upstream/startgates.h"
 #include "upstream/wireprofile.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -32,11 +32,11 @@
     //! Precondition: the references outlive the run of the context. `overage` is the ratio by which
     //! the rate of a cold upstream may be exceeded.
     cold_probe(boost::asio::io_context &context, const config::snapshot_cell &configuration,
-               const upstream_table_cell &upstreams, std::shared_ptr<cold_starts> coldStarts,
+               const upstream_table_cell &upstreams, std::shared_ptr<start_gates> startGates,
                wire_profile wire, double overage);
 
     //! Asks an upstream once, over the connection of the last answer if that is still open, and
-    //! then calls `cold_starts::endQuestion`.
+    //! then calls `start_gates::endQuestion`.
     auto ask(const base::upstream_id &upstream) -> void;
 
     //! Ends questions and closes connections.
@@ -94,7 +94,7 @@
     boost::asio::io_context &m_context;
     const config::snapshot_cell &m_configuration;
     const upstream_table_cell &m_upstreams;
-    std::shared_ptr<cold_starts> m_coldStarts;
+    std::shared_ptr<start_gates> m_startGates;
     wire_profile m_wire;
     double m_overage;
     bool m_isStopped = false;
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -134,7 +134,7 @@
     }
     const auto terms = coldTermsOf(service);
     if (terms.isLimited()) {
-        load.coldRate = m_dependencies.coldStarts->coldRateOf(service, terms, base::clock::now());
+        load.coldRate = m_dependencies.startGates->coldRateOf(service, terms, base::clock::now());
     }
     return load;
 }
@@ -241,14 +241,14 @@
     if (!terms.isLimited()) {
         return {};
     }
-    auto &coldStarts = *m_dependencies.coldStarts;
+    auto &startGates = *m_dependencies.startGates;
     const auto now = base::clock::now();
     if (canAsk(request.service)) {
-        for (const auto &upstream : coldStarts.takeQuestions(request.service, terms, now)) {
+        for (const auto &upstream : startGates.takeQuestions(request.service, terms, now)) {
             m_dependencies.askUpstream(upstream);
         }
     }
-    if (!coldStarts.hasFreeStart(request.service, terms, now)) {
+    if (!startGates.hasFreeStart(request.service, terms, now)) {
         return base::fail(error_kind::UpstreamCold);
     }
     return {};
@@ -262,17 +262,17 @@
 }
 
 auto executor_state::reserveStart(const attempt_request &request, const base::upstream_id &upstream)
-        -> base::result<cold_reservation>
+        -> base::result<start_reservation>
 {
     const auto terms = coldTermsOf(request.service);
     if (!terms.isLimited()) {
-        return cold_reservation();
+        return start_reservation();
     }
-    const auto &coldStarts = m_dependencies.coldStarts;
-    if (!coldStarts->tryReserve(upstream, terms, base::clock::now())) {
+    const auto &startGates = m_dependencies.startGates;
+    if (!startGates->tryReserve(upstream, terms, base::clock::now())) {
         return base::fail(error_kind::UpstreamCold);
     }
-    return cold_reservation(coldStarts, upstream, terms);
+    return start_reservation(startGates, upstream, terms);
 }
 
 auto executor_state::acquireSlot(const attempt_request &request, cancellation &cancel)
@@ -386,7 +386,7 @@
     }
     const auto ending = endingOf(result);
     if (tellsOfRestart(ending)) {
-        m_dependencies.coldStarts->onConnectionLost(target.entry.id, target.entry.incarnation,
+        m_dependencies.startGates->onConnectionLost(target.entry.id, target.entry.incarnation,
                                                     base::clock::now());
     }
     if (hooks.onFinish) {
--- a/src/upstream/internal/executorstate.h
+++ b/src/upstream/internal/executorstate.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "upstream/executor.h"
-#include "upstream/internal/coldreservation.h"
 #include "upstream/internal/connectionpool.h"
 #include "upstream/internal/slotguard.h"
+#include "upstream/internal/startreservation.h"
 #include "upstream/internal/upstreamexchange.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -48,7 +48,7 @@
     struct authorized_start
     {
         record_pointer record;
-        cold_reservation reservation;
+        start_reservation reservation;
     };
 
     //! Checks incarnation, configuration, key, place, deadline and success probability. A request
@@ -64,7 +64,7 @@
     auto canAsk(const base::service_id &service) -> bool;
     //! Reserves the start of a request at the upstream, if it is cold.
     auto reserveStart(const attempt_request &request, const base::upstream_id &upstream)
-            -> base::result<cold_reservation>;
+            -> base::result<start_reservation>;
     auto acquireSlot(const attempt_request &request, cancellation &cancel)
             -> boost::asio::awaitable<base::result<slot_guard>>;
     //! Repeats the admission check after the wait for a slot, looks up the upstream and marks the
--- a/src/upstream/internal/registry.cpp
+++ b/src/upstream/internal/registry.cpp
@@ -102,7 +102,7 @@
         upstream.probation = false;
     }
     // A request may get the upstream as soon as the record is stored.
-    m_coldStarts->onAnnouncement(upstreamIdOf(received.name), received.service,
+    m_startGates->onAnnouncement(upstreamIdOf(received.name), received.service,
                                  received.incarnation, received.coldRemaining, now);
     storeRecord(upstream,
                 makeRecord(isRegistered ? *upstream.record : upstream_record{}, received));
@@ -264,7 +264,7 @@
         const bool isOver =
                 !isLive(*item.second.record) && item.second.expiry + GONE_RETENTION <= now;
         if (isOver) {
-            m_coldStarts->forget(item.second.record->entry.id);
+            m_startGates->forget(item.second.record->entry.id);
         }
         return isOver;
     });
@@ -350,7 +350,7 @@
 {
     auto gone = *upstream.record;
     gone.entry.state = upstream_state::Gone;
-    m_coldStarts->onGone(gone.entry.id);
+    m_startGates->onGone(gone.entry.id);
     storeRecord(upstream, std::move(gone));
 }
 
@@ -359,7 +359,7 @@
     auto left = *upstream.record;
     left.entry.isLeaving = true;
     left.entry.state = upstream_state::Gone;
-    m_coldStarts->onGone(left.entry.id);
+    m_startGates->onGone(left.entry.id);
     storeRecord(upstream, std::move(left));
 }
 
--- a/src/upstream/internal/coldstarts.cpp
+++ b/src/upstream/internal/startgates.cpp
@@ -1,4 +1,4 @@
-#include "upstream/coldstarts.h"
+#include "upstream/startgates.h"
 
 #include "base/log.h"
 
@@ -9,19 +9,19 @@
 using policy::cold_state;
 using policy::cold_terms;
 
-auto cold_starts::find(const base::upstream_id &upstream) -> upstream_gate *
+auto start_gates::find(const base::upstream_id &upstream) -> upstream_gate *
 {
     const auto position = m_gates.find(upstream);
     return position == m_gates.end() ? nullptr : &position->second;
 }
 
-auto cold_starts::find(const base::upstream_id &upstream) const -> const upstream_gate *
+auto start_gates::find(const base::upstream_id &upstream) const -> const upstream_gate *
 {
     const auto position = m_gates.find(upstream);
     return position == m_gates.end() ? nullptr : &position->second;
 }
 
-auto cold_starts::onAnnouncement(const base::upstream_id &upstream, const base::service_id &service,
+auto start_gates::onAnnouncement(const base::upstream_id &upstream, const base::service_id &service,
                                  base::incarnation incarnation,
                                  std::optional<base::milliseconds> coldRemaining,
                                  base::time_point now) -> void
@@ -43,7 +43,7 @@
     entry->gate.onAnnouncement(isNewIncarnation, coldRemaining, now);
 }
 
-auto cold_starts::onGone(const base::upstream_id &upstream) -> void
+auto start_gates::onGone(const base::upstream_id &upstream) -> void
 {
     const std::lock_guard lock(m_mutex);
     if (auto *entry = find(upstream)) {
@@ -51,13 +51,13 @@
     }
 }
 
-auto cold_starts::forget(const base::upstream_id &upstream) -> void
+auto start_gates::forget(const base::upstream_id &upstream) -> void
 {
     const std::lock_guard lock(m_mutex);
     m_gates.erase(upstream);
 }
 
-auto cold_starts::onAnswer(const base::upstream_id &upstream, base::incarnation incarnation,
+auto start_gates::onAnswer(const base::upstream_id &upstream, base::incarnation incarnation,
                            base::duration coldRemaining, base::time_point askedAt,
                            base::time_point now) -> void
 {
@@ -68,7 +68,7 @@
     }
 }
 
-auto cold_starts::onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
+auto start_gates::onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
                           base::time_point now) -> void
 {
     const std::lock_guard lock(m_mutex);
@@ -78,7 +78,7 @@
     }
 }
 
-auto cold_starts::onConnectionLost(const base::upstream_id &upstream, base::incarnation incarnation,
+auto start_gates::onConnectionLost(const base::upstream_id &upstream, base::incarnation incarnation,
                                    base::time_point now) -> void
 {
     const std::lock_guard lock(m_mutex);
@@ -88,7 +88,7 @@
     }
 }
 
-auto cold_starts::onDoubtOfAll(base::time_point now) -> void
+auto start_gates::onDoubtOfAll(base::time_point now) -> void
 {
     const std::lock_guard lock(m_mutex);
     for (auto &[upstream, entry] : m_gates) {
@@ -96,7 +96,7 @@
     }
 }
 
-auto cold_starts::setWatched(const base::upstream_id &upstream, bool isWatched) -> void
+auto start_gates::setWatched(const base::upstream_id &upstream, bool isWatched) -> void
 {
     const std::lock_guard lock(m_mutex);
     if (auto *entry = find(upstream)) {
@@ -104,7 +104,7 @@
     }
 }
 
-auto cold_starts::takeQuestions(const base::service_id &service, const cold_terms &terms,
+auto start_gates::takeQuestions(const base::service_id &service, const cold_terms &terms,
                                 base::time_point now) -> std::vector<base::upstream_id>
 {
     const std::lock_guard lock(m_mutex);
@@ -120,7 +120,7 @@
     return taken;
 }
 
-auto cold_starts::endQuestion(const base::upstream_id &upstream) -> void
+auto start_gates::endQuestion(const base::upstream_id &upstream) -> void
 {
     const std::lock_guard lock(m_mutex);
     if (auto *entry = find(upstream)) {
@@ -129,7 +129,7 @@
     }
 }
 
-auto cold_starts::isInDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
+auto start_gates::isInDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
                             const cold_terms &terms, base::time_point now) const -> bool
 {
     const std::lock_guard lock(m_mutex);
@@ -138,7 +138,7 @@
            && entry->gate.state(terms, now) == cold_state::InDoubt;
 }
 
-auto cold_starts::hasFreeStart(const base::service_id &service, const cold_terms &terms,
+auto start_gates::hasFreeStart(const base::service_id &service, const cold_terms &terms,
                                base::time_point now) const -> bool
 {
     const std::lock_guard lock(m_mutex);
@@ -155,7 +155,7 @@
     return !hasUpstream;
 }
 
-auto cold_starts::tryReserve(const base::upstream_id &upstream, const cold_terms &terms,
+auto start_gates::tryReserve(const base::upstream_id &upstream, const cold_terms &terms,
                              base::time_point now) -> bool
 {
     const std::lock_guard lock(m_mutex);
@@ -163,7 +163,7 @@
     return entry != nullptr && entry->gate.tryReserve(terms, now);
 }
 
-auto cold_starts::tryReserveQuestion(const base::upstream_id &upstream, const cold_terms &terms,
+auto start_gates::tryReserveQuestion(const base::upstream_id &upstream, const cold_terms &terms,
                                      base::time_point now) -> bool
 {
     const std::lock_guard lock(m_mutex);
@@ -171,7 +171,7 @@
     return entry != nullptr && entry->gate.tryReserveQuestion(terms, now);
 }
 
-auto cold_starts::nextStart(const base::upstream_id &upstream, const cold_terms &terms,
+auto start_gates::nextStart(const base::upstream_id &upstream, const cold_terms &terms,
                             base::time_point now) const -> base::time_point
 {
     const std::lock_guard lock(m_mutex);
@@ -179,7 +179,7 @@
     return entry == nullptr ? base::time_point::max() : entry->gate.nextStart(terms, now);
 }
 
-auto cold_starts::onSent(const base::upstream_id &upstream, const cold_terms &terms,
+auto start_gates::onSent(const base::upstream_id &upstream, const cold_terms &terms,
                          base::time_point now) -> void
 {
     const std::lock_guard lock(m_mutex);
@@ -188,7 +188,7 @@
     }
 }
 
-auto cold_starts::cancelReservation(const base::upstream_id &upstream) -> void
+auto start_gates::cancelReservation(const base::upstream_id &upstream) -> void
 {
     const std::lock_guard lock(m_mutex);
     if (auto *entry = find(upstream)) {
@@ -196,7 +196,7 @@
     }
 }
 
-auto cold_starts::coldRateOf(const base::service_id &service, const cold_terms &terms,
+auto start_gates::coldRateOf(const base::service_id &service, const cold_terms &terms,
                              base::time_point now) -> double
 {
     constexpr double NOT_COLD = -1.0;
@@ -217,7 +217,7 @@
     return hasUpstream && !isAnyWarm ? rate : NOT_COLD;
 }
 
-auto cold_starts::logState(const base::upstream_id &upstream, upstream_gate &entry,
+auto start_gates::logState(const base::upstream_id &upstream, upstream_gate &entry,
                            cold_state state, base::time_point now) -> void
 {
     const bool isWarm = state == cold_state::Warm;
--- a/src/upstream/internal/coldreservation.h
+++ b/src/upstream/internal/startreservation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "upstream/coldstarts.h"
+#include "upstream/startgates.h"
 
 #include <memory>
 #include <utility>
@@ -9,30 +9,30 @@
 
 //! Owns the reserved start of a request at an upstream that may be cold, and ends the reservation
 //! on destruction. Thread safety: one thread at a time.
-class cold_reservation
+class start_reservation
 {
 public:
     //! Start at an upstream of a service without a limit.
-    cold_reservation() = default;
+    start_reservation() = default;
     //! Precondition: `starts->tryReserve` returned true.
-    cold_reservation(std::shared_ptr<cold_starts> starts, base::upstream_id upstream,
-                     policy::cold_terms terms)
+    start_reservation(std::shared_ptr<start_gates> starts, base::upstream_id upstream,
+                      policy::cold_terms terms)
         : m_starts(std::move(starts)), m_upstream(std::move(upstream)), m_terms(terms),
           m_isReserved(true)
     {}
-    ~cold_reservation()
+    ~start_reservation()
     {
         if (m_isReserved) {
             m_starts->cancelReservation(m_upstream);
         }
     }
-    cold_reservation(cold_reservation &&other) noexcept
+    start_reservation(start_reservation &&other) noexcept
         : m_starts(std::move(other.m_starts)), m_upstream(std::move(other.m_upstream)),
           m_terms(other.m_terms), m_isReserved(std::exchange(other.m_isReserved, false))
     {}
-    auto operator=(cold_reservation &&other) -> cold_reservation & = delete;
-    cold_reservation(const cold_reservation &) = delete;
-    auto operator=(const cold_reservation &) -> cold_reservation & = delete;
+    auto operator=(start_reservation &&other) -> start_reservation & = delete;
+    start_reservation(const start_reservation &) = delete;
+    auto operator=(const start_reservation &) -> start_reservation & = delete;
 
     //! Records that the request is sent now.
     auto onSent() -> void
@@ -54,7 +54,7 @@
     }
 
 private:
-    std::shared_ptr<cold_starts> m_starts;
+    std::shared_ptr<start_gates> m_starts;
     base::upstream_id m_upstream;
     policy::cold_terms m_terms;
     bool m_isReserved = false;
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -28,7 +28,7 @@
                  dependencies.onUpstreamsChanged, dependencies.announcementLife,
                  dependencies.queueOrder, dependencies.use),
       m_coldProbe(std::make_shared<cold_probe>(*m_contexts.front(), dependencies.configuration,
-                                               m_registry.table(), m_registry.coldStarts(),
+                                               m_registry.table(), m_registry.startGates(),
                                                dependencies.wire, dependencies.options.coldOverage))
 {
     if (!announceAddress.address.empty()) {
@@ -39,7 +39,7 @@
                 *context,
                 executor_dependencies{dependencies.nodeIncarnation, dependencies.configuration,
                                       m_registry.table(), dependencies.hooks, dependencies.wire,
-                                      dependencies.options, m_registry.coldStarts(),
+                                      dependencies.options, m_registry.startGates(),
                                       [probe = m_coldProbe](const base::upstream_id &upstream) {
                                           probe->ask(upstream);
                                       }}));
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -5,7 +5,7 @@
 #include "base/time.h"
 #include "membership/view.h"
 #include "policy/slotqueue.h"
-#include "upstream/coldstarts.h"
+#include "upstream/startgates.h"
 
 #include <functional>
 #include <map>
@@ -161,9 +161,9 @@
     [[nodiscard]] auto table() const -> const upstream_table_cell & { return m_table; }
 
     //! Returns the gates of the upstreams, which follow the announcements.
-    [[nodiscard]] auto coldStarts() const -> const std::shared_ptr<cold_starts> &
+    [[nodiscard]] auto startGates() const -> const std::shared_ptr<start_gates> &
     {
-        return m_coldStarts;
+        return m_startGates;
     }
 
     //! Returns the entries as published. Upstreams that left are included in state `Gone`.
@@ -219,7 +219,7 @@
     // sequence than before.
     std::uint64_t m_sequence = 0;
     upstream_table_cell m_table;
-    std::shared_ptr<cold_starts> m_coldStarts = std::make_shared<cold_starts>();
+    std::shared_ptr<start_gates> m_startGates = std::make_shared<start_gates>();
 };
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/coldstarts.h
+++ b/src/upstream/startgates.h
@@ -14,7 +14,7 @@
 //! Gates of the upstreams of this host that may be cold, see `policy::cold_start_gate`, and whether
 //! an upstream is being asked for its state.
 //! Thread safety of all members: any thread.
-class cold_starts
+class start_gates
 {
 public:
     //! Minimum time between two log lines about one upstream.
--- a/src/upstream/tests/coldprobetest.cpp
+++ b/src/upstream/tests/coldprobetest.cpp
@@ -321,7 +321,7 @@
 {
     countRefused(1);
     runUntil([this] { return !isCold(); });
-    m_service->registry().coldStarts()->onDoubtOfAll(base::clock::now());
+    m_service->registry().startGates()->onDoubtOfAll(base::clock::now());
     CHECK(isCold());
     m_standIn.coldTime = "400";
     runUntil([this] {
