Log the limits and departures that upstreams name in their answers

Cause: of an upstream that names a request limit or says that it leaves, logs and metrics show nothing, so a limit that nobody reads can't be told from one that each entry node keeps for itself or from one that is exceeded by late requests.

Change: the executing node reads both headers of each answer to a request, except of answers with status 421, which come from another upstream at the address, and logs what has changed. Nothing is decided on them yet. Names of the headers are part of the wire profile.

--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -353,6 +353,9 @@
         hooks.onStart(observation);
     }
     const auto service = serviceSettingsOf(request);
+    const auto recordNotice = [&](const upstream_notice &notice) {
+        m_dependencies.startGates->onNotice(target.entry.id, target.entry.incarnation, notice);
+    };
     exchange_result result;
     for (bool openNew = false, retry = true; retry;) {
         auto connection = co_await acquireConnection(request, target, openNew, cancel);
@@ -374,7 +377,7 @@
         start.reservation.onSent();
         (*connection)->addRequest(request.requestId);
         upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
-                                   service.timeout, source, sink, cancel);
+                                   service.timeout, source, sink, cancel, recordNotice);
         result = co_await exchange.run();
         retry = !openNew
                 && mayRetryOnNewConnection(result, request, (*connection)->reused,
--- a/src/upstream/internal/startgates.cpp
+++ b/src/upstream/internal/startgates.cpp
@@ -37,6 +37,9 @@
     if (!entry->isLive) {
         entry->gate.onDoubt(now);
     }
+    if (isNewIncarnation) {
+        entry->notice = {};
+    }
     entry->service = service;
     entry->incarnation = incarnation;
     entry->isLive = true;
@@ -68,6 +71,17 @@
     }
 }
 
+auto start_gates::onNotice(const base::upstream_id &upstream, base::incarnation incarnation,
+                           const upstream_notice &notice) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(upstream);
+    if (entry != nullptr && entry->incarnation == incarnation) {
+        logChange(upstream, entry->notice, notice);
+        entry->notice = notice;
+    }
+}
+
 auto start_gates::onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
                           base::time_point now) -> void
 {
@@ -217,6 +231,27 @@
     return hasUpstream && !isAnyWarm ? rate : NOT_COLD;
 }
 
+auto start_gates::logChange(const base::upstream_id &upstream, const upstream_notice &previous,
+                            const upstream_notice &notice) -> void
+{
+    if (notice.isLimitUnreadable && !previous.isLimitUnreadable) {
+        base::log(base::log_level::Warning, "request limit of an upstream can't be read",
+                  {{"upstream", upstream.str()}});
+    }
+    if (notice.requestLimit && notice.requestLimit != previous.requestLimit) {
+        base::log(base::log_level::Info, "upstream names a request limit",
+                  {{"upstream", upstream.str()}, {"per_second", *notice.requestLimit}});
+    }
+    if (!notice.requestLimit && previous.requestLimit) {
+        base::log(base::log_level::Info, "upstream names no request limit any more",
+                  {{"upstream", upstream.str()}});
+    }
+    if (notice.isLeaving && !previous.isLeaving) {
+        base::log(base::log_level::Info, "upstream answers that it leaves",
+                  {{"upstream", upstream.str()}});
+    }
+}
+
 auto start_gates::logState(const base::upstream_id &upstream, upstream_gate &entry,
                            cold_state state, base::time_point now) -> void
 {
--- a/src/upstream/internal/upstreamexchange.cpp
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -31,6 +31,8 @@
 constexpr int MAX_INTERIM_ANSWERS = 32;
 // Maximum number of late answers to earlier requests that one exchange skips.
 constexpr int MAX_SKIPPED_ANSWERS = 3;
+// Status of an answer from another upstream at the address, which says nothing of this one.
+constexpr unsigned MISDIRECTED_STATUS = 421;
 constexpr auto AS_TUPLE = asio::as_tuple(asio::use_awaitable);
 
 auto toHexadecimal(std::size_t number) -> std::string
@@ -91,10 +93,10 @@
                                      const attempt_request &request, const wire_profile &wire,
                                      const std::string &upstreamName, base::milliseconds timeout,
                                      const body_source &source, const answer_sink &sink,
-                                     cancellation &cancel)
+                                     cancellation &cancel, notice_function onNotice)
     : m_connection(connection), m_request(request), m_wire(wire), m_upstreamName(upstreamName),
       m_timeout(timeout), m_source(source), m_sink(sink), m_cancel(cancel),
-      m_bodySenderFinished(connection.socket.get_executor())
+      m_onNotice(std::move(onNotice)), m_bodySenderFinished(connection.socket.get_executor())
 {}
 
 auto upstream_exchange::run() -> asio::awaitable<exchange_result>
@@ -336,7 +338,23 @@
 auto upstream_exchange::isRefusal() -> bool
 {
     const auto status = m_parser->get().result_int();
-    return status == 421 || (!m_wire.notRun.empty() && m_parser->get().count(m_wire.notRun) > 0);
+    return status == MISDIRECTED_STATUS
+           || (!m_wire.notRun.empty() && m_parser->get().count(m_wire.notRun) > 0);
+}
+
+auto upstream_exchange::noticeInHead() -> upstream_notice
+{
+    upstream_notice notice;
+    for (const auto &field : m_parser->get()) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        const std::string_view value(field.value().data(), field.value().size());
+        if (equalIgnoreCase(name, m_wire.requestLimit)) {
+            addRequestLimit(notice, value);
+        }
+        notice.isLeaving = notice.isLeaving
+                           || (equalIgnoreCase(name, m_wire.leaving) && trimmed(value) == "1");
+    }
+    return notice;
 }
 
 // Reads answers up to the head of the one to this request and skips late ones to earlier requests.
@@ -376,6 +394,9 @@
     if (!hasHead) {
         co_return;
     }
+    if (m_parser->get().result_int() != MISDIRECTED_STATUS) {
+        m_onNotice(noticeInHead());
+    }
     if (isRefusal()) {
         const bool bodyRead = co_await skipBody();
         if (bodyRead || !m_result.failure) {
--- a/src/upstream/internal/upstreamexchange.h
+++ b/src/upstream/internal/upstreamexchange.h
@@ -2,6 +2,7 @@
 
 #include "upstream/exchange.h"
 #include "upstream/internal/connectionpool.h"
+#include "upstream/notice.h"
 #include "upstream/wakesignal.h"
 #include "upstream/wireprofile.h"
 
@@ -31,6 +32,10 @@
     std::optional<base::time_point> headTime;
 };
 
+//! Called with what the upstream says of itself, once for each answer to the request, before the
+//! answer is forwarded.
+using notice_function = std::function<void(const upstream_notice &notice)>;
+
 //! Runs one request on one connection and streams the request body and the answer concurrently.
 //! Precondition: all references outlive `run`; used on one thread.
 class upstream_exchange
@@ -39,7 +44,7 @@
     upstream_exchange(upstream_connection &connection, const attempt_request &request,
                       const wire_profile &wire, const std::string &upstreamName,
                       base::milliseconds timeout, const body_source &source,
-                      const answer_sink &sink, cancellation &cancel);
+                      const answer_sink &sink, cancellation &cancel, notice_function onNotice);
 
     auto run() -> boost::asio::awaitable<exchange_result>;
 
@@ -57,6 +62,7 @@
     auto skipBody() -> boost::asio::awaitable<bool>;
     auto belongsToRequest() -> bool;
     auto isRefusal() -> bool;
+    auto noticeInHead() -> upstream_notice;
     auto readPart() -> boost::asio::awaitable<std::optional<std::string>>;
     auto readMore() -> boost::asio::awaitable<bool>;
     auto forwardAnswerStart(std::string body) -> boost::asio::awaitable<bool>;
@@ -75,6 +81,7 @@
     const body_source &m_source;
     const answer_sink &m_sink;
     cancellation &m_cancel;
+    notice_function m_onNotice;
     std::optional<parser_type> m_parser;
     exchange_result m_result;
     wake_signal m_bodySenderFinished;
--- a/src/upstream/startgates.h
+++ b/src/upstream/startgates.h
@@ -3,6 +3,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "policy/coldstartgate.h"
+#include "upstream/notice.h"
 
 #include <map>
 #include <mutex>
@@ -11,8 +12,8 @@
 
 namespace hawthornpick::upstream {
 
-//! Gates of the upstreams of this host that may be cold, see `policy::cold_start_gate`, and whether
-//! an upstream is being asked for its state.
+//! Gates of the upstreams of this host that may be cold, see `policy::cold_start_gate`, whether an
+//! upstream is being asked for its state, and what it says of itself in its answers.
 //! Thread safety of all members: any thread.
 class start_gates
 {
@@ -34,6 +35,9 @@
     auto onAnswer(const base::upstream_id &upstream, base::incarnation incarnation,
                   base::duration coldRemaining, base::time_point askedAt, base::time_point now)
             -> void;
+    //! Records what an incarnation says of itself in an answer.
+    auto onNotice(const base::upstream_id &upstream, base::incarnation incarnation,
+                  const upstream_notice &notice) -> void;
     //! Records that an incarnation may have restarted.
     auto onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
                  base::time_point now) -> void;
@@ -86,6 +90,7 @@
         bool isLoggedAsWarm = true;
         base::time_point nextLog = base::time_point::min();
         policy::cold_start_gate gate;
+        upstream_notice notice = {};
     };
 
     //! Precondition: the lock is held.
@@ -93,6 +98,8 @@
     [[nodiscard]] auto find(const base::upstream_id &upstream) const -> const upstream_gate *;
     static auto logState(const base::upstream_id &upstream, upstream_gate &entry,
                          policy::cold_state state, base::time_point now) -> void;
+    static auto logChange(const base::upstream_id &upstream, const upstream_notice &previous,
+                          const upstream_notice &notice) -> void;
 
     mutable std::mutex m_mutex;
     std::map<base::upstream_id, upstream_gate> m_gates;
--- a/src/upstream/wireprofile.h
+++ b/src/upstream/wireprofile.h
@@ -34,6 +34,11 @@
     //! Header in the answer to a health question with the time in milliseconds that the upstream
     //! stays cold; empty if there is none.
     std::string coldTime;
+    //! Header in any answer of an upstream that names how many requests per second it takes from
+    //! all nodes together.
+    std::string requestLimit = "X-Upstream-Request-Limit";
+    //! Header in any answer of an upstream that is about to end, with the value 1.
+    std::string leaving = "X-Upstream-Leaving";
     //! Upstreams repeat the request id in their answers, so that answers to other requests can be
     //! recognised.
     bool echoesRequestId = false;
