--- a/tests/process/httpclient.cpp
+++ b/tests/process/httpclient.cpp
@@ -68,7 +68,8 @@
         m_buffer.clear();
     }
     return http_answer{answer.result_int(), std::string(answer["X-Hawthornpick-Reason"]),
-                       std::string(answer["X-Hawthornpick-Outcome"]), answer.body()};
+                       std::string(answer["X-Hawthornpick-Outcome"]), answer.body(),
+                       std::string(answer["Retry-After"])};
 }
 
 } // namespace hawthornpick::processtest
--- a/tests/process/httpclient.h
+++ b/tests/process/httpclient.h
@@ -20,6 +20,8 @@
     std::string reason;
     std::string outcome;
     std::string body;
+    //! Value of the Retry-After header; empty if there is none.
+    std::string retryAfter;
 
     auto operator<=>(const http_answer &) const = default;
 };
