Keep the request limit that an upstream names over all entry nodes

Callers saw: an upstream that names a limit in its answers gets its even share of the requests, as if it had named none (25 to 38 requests in 4 s for limits of 1 to 2.9 a second).

Cause: nothing reads the limit. Class: a bound of the platform that no component owns.

Change: the node beside the upstream, which all its requests pass, keeps a token bucket (policy::request_limit) that follows the answers: repeats, hedges, trials, calls and health questions count; the bucket starts empty; a limit is lowered at once, and raised or ended only by the answer to a request that was sent after it was last named; a limit that can't be read changes nothing; one that allows nothing leaves a request in 10 s, because only an answer tells of its end. What is refused there (upstream_limited) has not run and is placed elsewhere. Entry nodes get the rate with the load and treat it as that of a cold upstream: each sends its share, more only if nobody else has a free slot.

Both are changed: twelve callers in parallel instead of one and 60 ms of work instead of 5, because with one caller the other upstreams always have free slots and the limited one gets few requests or none, limit or not (placement prefers upstreams with recent evidence; read in policy/placement.cpp and policy/healthestimator.cpp). For the same reason the end of a limit is checked where no other upstream is left: all requests are answered and the upstream gets more than its former limit allowed.

--- a/src/base/errorkind.h
+++ b/src/base/errorkind.h
@@ -57,10 +57,11 @@
     UpstreamEvacuated,
     NoAllowedRegion,
     UpstreamCold,
+    UpstreamLimited,
 };
 
 inline constexpr std::size_t ERROR_KIND_COUNT =
-        static_cast<std::size_t>(error_kind::UpstreamCold) + 1;
+        static_cast<std::size_t>(error_kind::UpstreamLimited) + 1;
 
 //! Whether the upstream executed a request that failed, as far as is known.
 enum class outcome : std::uint8_t {
--- a/src/base/internal/errorkind.cpp
+++ b/src/base/internal/errorkind.cpp
@@ -93,6 +93,8 @@
          "No region that the route and the organisation allow has an upstream for the request."},
         {UpstreamCold, 503, "upstream_cold", outcome::NotRun, true,
          "The chosen upstream is cold and has reached the rate at which it may be given requests."},
+        {UpstreamLimited, 503, "upstream_limited", outcome::NotRun, true,
+         "The chosen upstream has got the requests of the limit that it names in its answers."},
 }};
 
 } // namespace
--- a/src/caller/internal/entryattempts.cpp
+++ b/src/caller/internal/entryattempts.cpp
@@ -38,6 +38,7 @@
     case error_kind::UpstreamEvacuated:
     case error_kind::NoAllowedRegion:
     case error_kind::UpstreamCold:
+    case error_kind::UpstreamLimited:
         return true;
     default:
         return false;
--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -36,8 +36,8 @@
 //! Time for which an upstream that refused a request is penalised: about the service time of one
 //! request.
 constexpr base::milliseconds REFUSAL_PENALTY_TIME{60};
-//! Longest time for which an upstream that refused a request as cold isn't chosen.
-constexpr base::milliseconds MAX_COLD_REFUSAL_TIME{1000};
+//! Longest time for which an upstream that refused a request for its start rate isn't chosen.
+constexpr base::milliseconds MAX_START_REFUSAL_TIME{1000};
 
 auto isPathFailure(base::error_kind kind) -> bool
 {
@@ -55,7 +55,8 @@
 constexpr std::array REFUSAL_ORDER{
         base::error_kind::NoAllowedRegion, base::error_kind::UpstreamEvacuated,
         base::error_kind::NoUpstream,      base::error_kind::UpstreamCold,
-        base::error_kind::PeerUnreachable, base::error_kind::Overloaded,
+        base::error_kind::UpstreamLimited, base::error_kind::PeerUnreachable,
+        base::error_kind::Overloaded,
 };
 
 auto strongerRefusal(const std::optional<base::error_kind> &previous, base::error_kind kind)
@@ -81,6 +82,9 @@
         return "all upstreams of the service that may be used are in evacuated failure domains";
     case base::error_kind::UpstreamCold:
         return "all upstreams of the service that can be reached are cold and have no room";
+    case base::error_kind::UpstreamLimited:
+        return "all upstreams of the service that can be reached have got the requests of the "
+               "limits that they name";
     default:
         return "";
     }
@@ -96,9 +100,9 @@
                          base::time_point now) -> base::result<membership::upstream_place>
 {
     std::optional<membership::upstream_place> best;
-    std::optional<membership::upstream_place> bestCold;
+    std::optional<membership::upstream_place> bestLimited;
     double bestScore = 0.0;
-    double bestColdScore = 0.0;
+    double bestLimitedScore = 0.0;
     bool hasRoom = false;
     std::optional<base::error_kind> refusal;
     for (const auto &place : view.upstreamsOf(request.service)) {
@@ -116,24 +120,24 @@
             continue;
         }
         const bool isLimited =
-                coldStateOf(state, request.entryNodeCount, now) == cold_state::BeyondShare;
-        auto &bestOfKind = isLimited ? bestCold : best;
-        auto &scoreOfKind = isLimited ? bestColdScore : bestScore;
+                startStateOf(state, request.entryNodeCount, now) == start_state::BeyondShare;
+        auto &bestOfKind = isLimited ? bestLimited : best;
+        auto &scoreOfKind = isLimited ? bestLimitedScore : bestScore;
         if (!bestOfKind || score > scoreOfKind) {
             bestOfKind = place;
             scoreOfKind = score;
         }
         hasRoom = hasRoom || (!isLimited && hasFreeSlot(state, place.upstream->slots, now));
     }
-    const bool usesCold =
-            bestCold && !hasRoom && !request.needsFreeSlot && (!best || bestColdScore > bestScore);
-    if (usesCold) {
-        return *bestCold;
+    const bool usesLimited = bestLimited && !hasRoom && !request.needsFreeSlot
+                             && (!best || bestLimitedScore > bestScore);
+    if (usesLimited) {
+        return *bestLimited;
     }
     if (best) {
         return *best;
     }
-    if (bestCold) {
+    if (bestLimited) {
         refusal = strongerRefusal(refusal, base::error_kind::UpstreamCold);
     }
     const auto kind = refusal.value_or(base::error_kind::NoUpstream);
@@ -163,8 +167,8 @@
     if (!request.idempotent && estimatedHealth(state, now) < MIN_NON_IDEMPOTENT_HEALTH) {
         return base::error_kind::Overloaded;
     }
-    if (coldStateOf(state, request.entryNodeCount, now) == cold_state::Refusing) {
-        return base::error_kind::UpstreamCold;
+    if (startStateOf(state, request.entryNodeCount, now) == start_state::Refusing) {
+        return state.startRefusal;
     }
     return std::nullopt;
 }
@@ -192,7 +196,7 @@
     const auto usableSlots = estimatedUsableSlots(state, best->upstream->slots, now);
     const auto wait = expectedWait(state, usableSlots, estimatedBusySlots(state, usableSlots, now));
     const auto health = estimatedHealth(state, now);
-    takeColdToken(state, request.entryNodeCount, now);
+    takeStartToken(state, request.entryNodeCount, now);
     countInFlight(node, request.service);
     return placed_request{&node, health, wait};
 }
@@ -228,7 +232,7 @@
             continue;
         }
         const auto &state = stateOf(node.id, request.service);
-        if (coldStateOf(state, request.entryNodeCount, now) >= cold_state::BeyondShare) {
+        if (startStateOf(state, request.entryNodeCount, now) >= start_state::BeyondShare) {
             continue;
         }
         if (reportWeight(state, now) <= 0.0 || state.load.health < TRIAL_HEALTH_LIMIT) {
@@ -259,7 +263,7 @@
     if (isExcluded(request, node->id)) {
         return nullptr;
     }
-    takeColdToken(m_nodeServiceStates[{node->id, request.service}], request.entryNodeCount, now);
+    takeStartToken(m_nodeServiceStates[{node->id, request.service}], request.entryNodeCount, now);
     countInFlight(*node, request.service);
     return node;
 }
@@ -409,40 +413,40 @@
                                                : m_settings.regionCostPerByte);
 }
 
-auto placement::coldStateOf(const node_service_state &state, std::size_t entryNodeCount,
-                            base::time_point now) const -> cold_state
+auto placement::startStateOf(const node_service_state &state, std::size_t entryNodeCount,
+                             base::time_point now) const -> start_state
 {
-    if (state.coldRefusedUntil > now) {
-        return cold_state::Refusing;
+    if (state.startRefusedUntil > now) {
+        return start_state::Refusing;
     }
-    if (state.load.coldRate < 0.0 || reportWeight(state, now) <= 0.0) {
-        return cold_state::Warm;
+    if (state.load.startRate < 0.0 || reportWeight(state, now) <= 0.0) {
+        return start_state::Unlimited;
     }
-    return coldTokens(state, entryNodeCount, now) >= 1.0 ? cold_state::WithinShare
-                                                         : cold_state::BeyondShare;
+    return startTokens(state, entryNodeCount, now) >= 1.0 ? start_state::WithinShare
+                                                          : start_state::BeyondShare;
 }
 
 // The share is not smaller than what trial requests need.
-auto placement::coldTokens(const node_service_state &state, std::size_t entryNodeCount,
-                           base::time_point now) const -> double
+auto placement::startTokens(const node_service_state &state, std::size_t entryNodeCount,
+                            base::time_point now) const -> double
 {
-    if (state.load.coldRate <= 0.0) {
+    if (state.load.startRate <= 0.0) {
         return 0.0;
     }
-    const double tokensPerSecond = std::max(state.load.coldRate, TRIALS_PER_SECOND)
+    const double tokensPerSecond = std::max(state.load.startRate, TRIALS_PER_SECOND)
                                    / static_cast<double>(std::max<std::size_t>(1, entryNodeCount));
-    return std::min(1.0,
-                    state.coldTokens + tokensPerSecond * base::toSeconds(now - state.coldTokensAt));
+    return std::min(1.0, state.startTokens
+                                 + tokensPerSecond * base::toSeconds(now - state.startTokensAt));
 }
 
-auto placement::takeColdToken(node_service_state &state, std::size_t entryNodeCount,
-                              base::time_point now) -> void
+auto placement::takeStartToken(node_service_state &state, std::size_t entryNodeCount,
+                               base::time_point now) -> void
 {
-    if (state.load.coldRate < 0.0) {
+    if (state.load.startRate < 0.0) {
         return;
     }
-    state.coldTokens = std::max(0.0, coldTokens(state, entryNodeCount, now) - 1.0);
-    state.coldTokensAt = now;
+    state.startTokens = std::max(0.0, startTokens(state, entryNodeCount, now) - 1.0);
+    state.startTokensAt = now;
 }
 
 auto placement::isPathInBackoff(const base::node_id &node, base::time_point now) const -> bool
@@ -462,12 +466,13 @@
     } else {
         state.sentSinceReport -= std::min(state.sentSinceReport, 1U);
     }
-    if (failure == base::error_kind::UpstreamCold) {
+    if (failure == base::error_kind::UpstreamCold || failure == base::error_kind::UpstreamLimited) {
+        state.startRefusal = *failure;
         const auto interval =
-                state.load.coldRate > 0.0 ? std::chrono::duration_cast<base::duration>(
-                        std::chrono::duration<double>(1.0 / state.load.coldRate))
-                                          : base::duration(MAX_COLD_REFUSAL_TIME);
-        state.coldRefusedUntil = now + std::min<base::duration>(interval, MAX_COLD_REFUSAL_TIME);
+                state.load.startRate > 0.0 ? std::chrono::duration_cast<base::duration>(
+                        std::chrono::duration<double>(1.0 / state.load.startRate))
+                                           : base::duration(MAX_START_REFUSAL_TIME);
+        state.startRefusedUntil = now + std::min<base::duration>(interval, MAX_START_REFUSAL_TIME);
     }
     if (failure && isPathFailure(*failure)) {
         auto &path = m_paths[node];
@@ -488,13 +493,13 @@
                        const service_load &load, base::time_point now) -> void
 {
     auto &state = m_nodeServiceStates[{node, service}];
-    if (load.coldRate >= 0.0 && state.load.coldRate < 0.0) {
+    if (load.startRate >= 0.0 && state.load.startRate < 0.0) {
         // The first requests of all nodes are spread over the time in which each may send one.
-        state.coldTokens = m_random.unit();
-        state.coldTokensAt = now;
+        state.startTokens = m_random.unit();
+        state.startTokensAt = now;
     }
-    if (load.coldRate < 0.0) {
-        state.coldRefusedUntil = {};
+    if (load.startRate < 0.0) {
+        state.startRefusedUntil = {};
     }
     state.load = load;
     state.reportedAt = now;
--- a/src/policy/internal/selector.cpp
+++ b/src/policy/internal/selector.cpp
@@ -20,6 +20,7 @@
 {
     switch (kind) {
     case base::error_kind::QueueFull:
+    case base::error_kind::UpstreamLimited:
         return QUEUE_FULL_BACKOFF;
     case base::error_kind::NoUpstream:
     case base::error_kind::UpstreamEjected:
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -41,7 +41,8 @@
     bool needsFreeSlot = false;
     //! Places where the request may be executed.
     placement_scope scope = {};
-    //! Number of nodes that callers are connected to; they share the rate of a cold upstream.
+    //! Number of nodes that callers are connected to; they share the rate of an upstream that may
+    //! be given few requests a second.
     std::size_t entryNodeCount = 1;
     //! Regions that are believed to have no room; no request is sent there.
     std::vector<base::region_id> closedRegions = {};
@@ -65,10 +66,11 @@
 //! health that its node reported, the age of the report, the requests of this node in flight there
 //! and the state of the path, less the cost of the transferred bytes.
 //!
-//! A cold upstream, which may be given few requests a second by all nodes together, competes only
-//! while this node hasn't used its share of that rate. Beyond it, the upstream is chosen only if no
-//! other one has a free slot and it hasn't refused a request as cold just before. Load pattern: the
-//! work of a failure domain returns to upstreams that have all just started.
+//! An upstream that may be given few requests a second by all nodes together, because it is cold or
+//! names a limit, competes only while this node hasn't used its share of that rate. Beyond it, the
+//! upstream is chosen only if no other one has a free slot and it hasn't refused a request for its
+//! rate just before. Load pattern: the work of a failure domain returns to upstreams that have all
+//! just started.
 //! Thread safety of all members: one thread.
 class placement
 {
@@ -97,10 +99,10 @@
 
     //! Chooses an upstream and counts the request as in flight there.
     //! Errors: `NoAllowedRegion` or `UpstreamEvacuated` if there are upstreams, but none in the
-    //! scope of the request; `NoUpstream`; `UpstreamCold` if each remaining upstream has refused a
-    //! request as cold just before; `PeerUnreachable` if every remaining upstream is behind a path
-    //! in backoff; `Overloaded` if the remaining upstreams are below `MIN_NON_IDEMPOTENT_HEALTH`
-    //! or in closed regions.
+    //! scope of the request; `NoUpstream`; `UpstreamCold` or `UpstreamLimited` if each
+    //! remaining upstream has refused a request for its rate just before; `PeerUnreachable` if
+    //! every remaining upstream is behind a path in backoff; `Overloaded` if the remaining
+    //! upstreams are below `MIN_NON_IDEMPOTENT_HEALTH` or in closed regions.
     auto choose(const membership::view &view, const placement_request &request,
                 base::time_point now) -> base::result<placed_request>;
 
@@ -119,8 +121,8 @@
     //! upstream, or null. Candidates are upstreams that stopped responding or have no recent
     //! report; a trial request shows whether they respond again. Together the `entryNodeCount`
     //! entry nodes send each candidate a trial request about every second or two, using idempotent
-    //! requests with short responses only. Cold upstreams get them within this node's
-    //! share only.
+    //! requests with short responses only. Upstreams that are cold or name a limit get them within
+    //! this node's share only.
     //! Precondition: `choose` was called for the request.
     auto chooseTrial(const membership::view &view, const placement_request &request,
                      std::size_t entryNodeCount, base::time_point now)
@@ -148,14 +150,16 @@
         std::uint32_t inFlight = 0;
         std::uint32_t sentSinceReport = 0;
         base::time_point penalisedUntil{};
-        //! Requests that this node's share of the rate of the cold upstream admits, at most 1.
-        double coldTokens = 0.0;
-        base::time_point coldTokensAt{};
-        base::time_point coldRefusedUntil{};
+        //! Requests that this node's share of the start rate of the upstream admits, at most 1.
+        double startTokens = 0.0;
+        base::time_point startTokensAt{};
+        //! Until then the upstream isn't chosen, because it refused a request for its start rate.
+        base::time_point startRefusedUntil{};
+        base::error_kind startRefusal = base::error_kind::UpstreamCold;
     };
-    //! Whether the coldness of an upstream limits what may be sent there.
-    enum class cold_state : std::uint8_t {
-        Warm,
+    //! Whether the start rate of an upstream limits what may be sent there.
+    enum class start_state : std::uint8_t {
+        Unlimited,
         WithinShare,
         BeyondShare,
         Refusing,
@@ -209,11 +213,11 @@
             -> double;
     [[nodiscard]] auto transferCost(const membership::node_entry &node,
                                     const placement_request &request) const -> double;
-    [[nodiscard]] auto coldStateOf(const node_service_state &state, std::size_t entryNodeCount,
-                                   base::time_point now) const -> cold_state;
-    [[nodiscard]] auto coldTokens(const node_service_state &state, std::size_t entryNodeCount,
-                                  base::time_point now) const -> double;
-    auto takeColdToken(node_service_state &state, std::size_t entryNodeCount, base::time_point now)
+    [[nodiscard]] auto startStateOf(const node_service_state &state, std::size_t entryNodeCount,
+                                    base::time_point now) const -> start_state;
+    [[nodiscard]] auto startTokens(const node_service_state &state, std::size_t entryNodeCount,
+                                   base::time_point now) const -> double;
+    auto takeStartToken(node_service_state &state, std::size_t entryNodeCount, base::time_point now)
             -> void;
     [[nodiscard]] auto isPathInBackoff(const base::node_id &node, base::time_point now) const
             -> bool;
--- a/src/policy/slots.h
+++ b/src/policy/slots.h
@@ -78,9 +78,9 @@
     double acceptance = 1.0;
     //! Requests with a higher priority rank than this are refused at present.
     std::uint32_t lowestRank = std::numeric_limits<std::uint32_t>::max();
-    //! Requests per second that the upstreams may be given because they are cold; negative if they
-    //! are not.
-    double coldRate = -1.0;
+    //! Requests per second that the upstreams may be given because they are cold or name a limit;
+    //! negative if one of them is neither.
+    double startRate = -1.0;
 
     auto operator<=>(const service_load &) const = default;
 };
--- a/src/policy/tests/placementtest.cpp
+++ b/src/policy/tests/placementtest.cpp
@@ -199,7 +199,7 @@
         }
         for (int node : {1, 2}) {
             auto cold = loadOf(0, 0.97);
-            cold.coldRate = COLD_RATE;
+            cold.startRate = COLD_RATE;
             m_placement.onLoad(nodeOf(node), SERVICE, cold, m_now);
         }
         const auto placed = m_placement.choose(m_view, item, m_now);
@@ -220,7 +220,7 @@
     item.entryNodeCount = 1000;
     for (int node = 0; node < 4; ++node) {
         auto load = loadOf(node == 1 ? 0 : 5, 0.97);
-        load.coldRate = node == 1 ? 2.0 : -1.0;
+        load.startRate = node == 1 ? 2.0 : -1.0;
         m_placement.onLoad(nodeOf(node), SERVICE, load, m_now);
     }
     STRCMP_EQUAL("n1", m_placement.choose(m_view, item, m_now)->node->id.str().c_str());
@@ -231,3 +231,18 @@
     m_now += milliseconds(500);
     CHECK(m_placement.choose(m_view, item, m_now).has_value());
 }
+
+// Guards against a refusal that calls an upstream cold that names a limit.
+TEST(placement, refusalNamesTheLimitOfUpstreams)
+{
+    auto item = request(true);
+    for (int node = 0; node < 4; ++node) {
+        auto load = loadOf(0, 0.97);
+        load.startRate = 2.0;
+        m_placement.onLoad(nodeOf(node), SERVICE, load, m_now);
+        m_placement.onAttemptEnd(nodeOf(node), SERVICE, base::error_kind::UpstreamLimited, {},
+                                 m_now);
+    }
+    const auto placed = m_placement.choose(m_view, item, m_now);
+    CHECK(!placed && placed.error().kind == base::error_kind::UpstreamLimited);
+}
--- a/src/policy/tests/residencytest.cpp
+++ b/src/policy/tests/residencytest.cpp
@@ -159,7 +159,7 @@
     service_load load{
             3,  static_cast<std::uint32_t>(random.below(4)), 0, milliseconds(200), random.unit(),
             1.0};
-    load.coldRate = random.chance(0.2) ? 4.0 * random.unit() : -1.0;
+    load.startRate = random.chance(0.2) ? 4.0 * random.unit() : -1.0;
     return load;
 }
 
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -10,8 +10,8 @@
   6: i32 acceptance_percent
   // Left out while all ranks are admitted.
   7: optional i32 lowest_rank
-  // Set while the upstreams are cold.
-  8: optional double cold_rate
+  // Set while the upstreams are cold or name limits.
+  8: optional double start_rate
 }
 
 // Head of a request stream. `headers` holds the header lines to forward, each ended by CRLF. Fields
--- a/src/upstream/internal/coldprobe.cpp
+++ b/src/upstream/internal/coldprobe.cpp
@@ -256,6 +256,10 @@
         co_return false;
     }
     const auto &answer = parser.get();
+    if (headerOf(answer, m_wire.upstreamId) == record.name) {
+        m_startGates->onNotice(id, record.entry.incarnation, noticeIn(answer, m_wire), askTime,
+                               base::clock::now());
+    }
     const auto coldTime = coldTimeIn(answer, m_wire.coldTime);
     if (!coldTime || headerOf(answer, m_wire.upstreamId) != record.name) {
         co_return false;
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -132,10 +132,8 @@
     if (m_dependencies.hooks.acceptance) {
         load.acceptance = m_dependencies.hooks.acceptance(service);
     }
-    const auto terms = coldTermsOf(service);
-    if (terms.isLimited()) {
-        load.coldRate = m_dependencies.startGates->coldRateOf(service, terms, base::clock::now());
-    }
+    load.startRate = m_dependencies.startGates->startRateOf(service, coldTermsOf(service),
+                                                            base::clock::now());
     return load;
 }
 
@@ -217,7 +215,7 @@
     if (const auto admitted = checkAdmission(request); !admitted) {
         co_return attempt_result{admitted.error(), false, {}};
     }
-    if (const auto allowed = checkColdStart(request); !allowed) {
+    if (const auto allowed = checkFreeStart(request); !allowed) {
         co_return attempt_result{allowed.error(), false, {}};
     }
     auto slot = co_await acquireSlot(request, cancel);
@@ -235,23 +233,17 @@
     co_return attempt_result{outcome.failure, outcome.answerStarted, {}};
 }
 
-auto executor_state::checkColdStart(const attempt_request &request) -> base::result<void>
+auto executor_state::checkFreeStart(const attempt_request &request) -> base::result<void>
 {
     const auto terms = coldTermsOf(request.service);
-    if (!terms.isLimited()) {
-        return {};
-    }
     auto &startGates = *m_dependencies.startGates;
     const auto now = base::clock::now();
-    if (canAsk(request.service)) {
+    if (terms.isLimited() && canAsk(request.service)) {
         for (const auto &upstream : startGates.takeQuestions(request.service, terms, now)) {
             m_dependencies.askUpstream(upstream);
         }
     }
-    if (!startGates.hasFreeStart(request.service, terms, now)) {
-        return base::fail(error_kind::UpstreamCold);
-    }
-    return {};
+    return startGates.checkFreeStart(request.service, terms, now);
 }
 
 auto executor_state::canAsk(const base::service_id &service) -> bool
@@ -265,12 +257,9 @@
         -> base::result<start_reservation>
 {
     const auto terms = coldTermsOf(request.service);
-    if (!terms.isLimited()) {
-        return start_reservation();
-    }
     const auto &startGates = m_dependencies.startGates;
-    if (!startGates->tryReserve(upstream, terms, base::clock::now())) {
-        return base::fail(error_kind::UpstreamCold);
+    if (auto reserved = startGates->tryReserve(upstream, terms, base::clock::now()); !reserved) {
+        return tl::unexpected(reserved.error());
     }
     return start_reservation(startGates, upstream, terms);
 }
@@ -353,8 +342,10 @@
         hooks.onStart(observation);
     }
     const auto service = serviceSettingsOf(request);
+    base::time_point sentAt;
     const auto recordNotice = [&](const upstream_notice &notice) {
-        m_dependencies.startGates->onNotice(target.entry.id, target.entry.incarnation, notice);
+        m_dependencies.startGates->onNotice(target.entry.id, target.entry.incarnation, notice,
+                                            sentAt, base::clock::now());
     };
     exchange_result result;
     for (bool openNew = false, retry = true; retry;) {
@@ -368,12 +359,13 @@
             }
             break;
         }
-        if (openNew && !start.reservation.renew()) {
+        if (const auto renewed = start.reservation.renew(); !renewed) {
             if (result.nothingSent) {
-                result.failure = base::error{error_kind::UpstreamCold, {}};
+                result.failure = renewed.error();
             }
             break;
         }
+        sentAt = base::clock::now();
         start.reservation.onSent();
         (*connection)->addRequest(request.requestId);
         upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
--- a/src/upstream/internal/executorstate.h
+++ b/src/upstream/internal/executorstate.h
@@ -58,11 +58,11 @@
     auto admitAndRun(const attempt_request &request, const body_source &source,
                      const answer_sink &sink, cancellation &cancel)
             -> boost::asio::awaitable<attempt_result>;
-    //! Refuses a request if all upstreams of its service here are cold and have got the requests
-    //! of this second, and has those in doubt asked.
-    auto checkColdStart(const attempt_request &request) -> base::result<void>;
+    //! Refuses a request if no upstream of its service here may be given one now, because they are
+    //! cold or name a limit. Has those asked that may be cold.
+    auto checkFreeStart(const attempt_request &request) -> base::result<void>;
     auto canAsk(const base::service_id &service) -> bool;
-    //! Reserves the start of a request at the upstream, if it is cold.
+    //! Reserves the start of a request at the upstream.
     auto reserveStart(const attempt_request &request, const base::upstream_id &upstream)
             -> base::result<start_reservation>;
     auto acquireSlot(const attempt_request &request, cancellation &cancel)
--- a/src/upstream/internal/notice.cpp
+++ b/src/upstream/internal/notice.cpp
@@ -26,14 +26,24 @@
     return limit;
 }
 
-auto addRequestLimit(upstream_notice &notice, std::string_view text) -> void
+auto noticeIn(const boost::beast::http::fields &headers, const wire_profile &wire)
+        -> upstream_notice
 {
-    const auto limit = parseRequestLimit(text);
-    if (!limit) {
-        notice.isLimitUnreadable = true;
-        return;
+    upstream_notice notice;
+    for (const auto &field : headers) {
+        const std::string_view name(field.name_string().data(), field.name_string().size());
+        const std::string_view value(field.value().data(), field.value().size());
+        if (equalIgnoreCase(name, wire.requestLimit)) {
+            const auto limit = parseRequestLimit(value);
+            notice.isLimitUnreadable = notice.isLimitUnreadable || !limit;
+            notice.requestLimit = limit ? std::min(*limit, notice.requestLimit.value_or(*limit))
+                                        : notice.requestLimit;
+        }
+        if (equalIgnoreCase(name, wire.leaving) && trimmed(value) == "1") {
+            notice.isLeaving = true;
+        }
     }
-    notice.requestLimit = std::min(*limit, notice.requestLimit.value_or(*limit));
+    return notice;
 }
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/internal/startgates.cpp
+++ b/src/upstream/internal/startgates.cpp
@@ -38,6 +38,7 @@
         entry->gate.onDoubt(now);
     }
     if (isNewIncarnation) {
+        entry->limit = {};
         entry->notice = {};
     }
     entry->service = service;
@@ -72,13 +73,18 @@
 }
 
 auto start_gates::onNotice(const base::upstream_id &upstream, base::incarnation incarnation,
-                           const upstream_notice &notice) -> void
+                           const upstream_notice &notice, base::time_point sentAt,
+                           base::time_point now) -> void
 {
     const std::lock_guard lock(m_mutex);
     auto *entry = find(upstream);
-    if (entry != nullptr && entry->incarnation == incarnation) {
-        logChange(upstream, entry->notice, notice);
-        entry->notice = notice;
+    if (entry == nullptr || entry->incarnation != incarnation) {
+        return;
+    }
+    logChange(upstream, entry->notice, notice);
+    entry->notice = notice;
+    if (notice.requestLimit || !notice.isLimitUnreadable) {
+        entry->limit.onAnswer(notice.requestLimit, sentAt, now);
     }
 }
 
@@ -152,29 +158,39 @@
            && entry->gate.state(terms, now) == cold_state::InDoubt;
 }
 
-auto start_gates::hasFreeStart(const base::service_id &service, const cold_terms &terms,
-                               base::time_point now) const -> bool
+auto start_gates::checkFreeStart(const base::service_id &service, const cold_terms &terms,
+                                 base::time_point now) const -> base::result<void>
 {
     const std::lock_guard lock(m_mutex);
-    bool hasUpstream = false;
+    std::optional<base::error_kind> refusal;
     for (const auto &[upstream, entry] : m_gates) {
         if (entry.service != service || !entry.isLive) {
             continue;
         }
-        if (entry.gate.nextStart(terms, now) <= now) {
-            return true;
+        if (entry.gate.nextStart(terms, now) > now) {
+            refusal = base::error_kind::UpstreamCold;
+        } else if (!entry.limit.hasFreeStart(now)) {
+            refusal = base::error_kind::UpstreamLimited;
+        } else {
+            return {};
         }
-        hasUpstream = true;
     }
-    return !hasUpstream;
+    return refusal ? base::fail(*refusal) : base::result<void>();
 }
 
 auto start_gates::tryReserve(const base::upstream_id &upstream, const cold_terms &terms,
-                             base::time_point now) -> bool
+                             base::time_point now) -> base::result<void>
 {
     const std::lock_guard lock(m_mutex);
     auto *entry = find(upstream);
-    return entry != nullptr && entry->gate.tryReserve(terms, now);
+    if (entry == nullptr || !entry->gate.tryReserve(terms, now)) {
+        return base::fail(base::error_kind::UpstreamCold);
+    }
+    if (!entry->limit.tryStart(now)) {
+        entry->gate.cancelReservation();
+        return base::fail(base::error_kind::UpstreamLimited);
+    }
+    return {};
 }
 
 auto start_gates::tryReserveQuestion(const base::upstream_id &upstream, const cold_terms &terms,
@@ -182,7 +198,9 @@
 {
     const std::lock_guard lock(m_mutex);
     auto *entry = find(upstream);
-    return entry != nullptr && entry->gate.tryReserveQuestion(terms, now);
+    const bool isReserved = entry != nullptr && entry->limit.hasFreeStart(now)
+                            && entry->gate.tryReserveQuestion(terms, now);
+    return isReserved && entry->limit.tryStart(now);
 }
 
 auto start_gates::nextStart(const base::upstream_id &upstream, const cold_terms &terms,
@@ -190,7 +208,9 @@
 {
     const std::lock_guard lock(m_mutex);
     const auto *entry = find(upstream);
-    return entry == nullptr ? base::time_point::max() : entry->gate.nextStart(terms, now);
+    return entry == nullptr
+                   ? base::time_point::max()
+                   : std::max(entry->gate.nextStart(terms, now), entry->limit.nextStart(now));
 }
 
 auto start_gates::onSent(const base::upstream_id &upstream, const cold_terms &terms,
@@ -210,25 +230,31 @@
     }
 }
 
-auto start_gates::coldRateOf(const base::service_id &service, const cold_terms &terms,
-                             base::time_point now) -> double
+auto start_gates::startRateOf(const base::service_id &service, const cold_terms &terms,
+                              base::time_point now) -> double
 {
-    constexpr double NOT_COLD = -1.0;
+    constexpr double UNLIMITED = -1.0;
     const std::lock_guard lock(m_mutex);
-    double rate = 0.0;
-    bool isAnyWarm = false;
+    double sum = 0.0;
     bool hasUpstream = false;
     for (auto &[upstream, entry] : m_gates) {
         if (entry.service != service || !entry.isLive) {
             continue;
         }
-        const auto state = entry.gate.state(terms, now);
-        logState(upstream, entry, state, now);
         hasUpstream = true;
-        isAnyWarm = isAnyWarm || state == cold_state::Warm;
-        rate += terms.startRate();
+        auto rate = entry.limit.limit();
+        if (terms.isLimited()) {
+            const auto state = entry.gate.state(terms, now);
+            logState(upstream, entry, state, now);
+            const bool isWarm = state == cold_state::Warm;
+            rate = isWarm ? rate : std::min(terms.startRate(), rate.value_or(terms.startRate()));
+        }
+        if (!rate) {
+            return UNLIMITED;
+        }
+        sum += *rate;
     }
-    return hasUpstream && !isAnyWarm ? rate : NOT_COLD;
+    return hasUpstream ? sum : UNLIMITED;
 }
 
 auto start_gates::logChange(const base::upstream_id &upstream, const upstream_notice &previous,
--- a/src/upstream/internal/startreservation.h
+++ b/src/upstream/internal/startreservation.h
@@ -12,22 +12,20 @@
 class start_reservation
 {
 public:
-    //! Start at an upstream of a service without a limit.
-    start_reservation() = default;
-    //! Precondition: `starts->tryReserve` returned true.
-    start_reservation(std::shared_ptr<start_gates> starts, base::upstream_id upstream,
+    //! Precondition: `gates->tryReserve` succeeded.
+    start_reservation(std::shared_ptr<start_gates> gates, base::upstream_id upstream,
                       policy::cold_terms terms)
-        : m_starts(std::move(starts)), m_upstream(std::move(upstream)), m_terms(terms),
+        : m_gates(std::move(gates)), m_upstream(std::move(upstream)), m_terms(terms),
           m_isReserved(true)
     {}
     ~start_reservation()
     {
         if (m_isReserved) {
-            m_starts->cancelReservation(m_upstream);
+            m_gates->cancelReservation(m_upstream);
         }
     }
     start_reservation(start_reservation &&other) noexcept
-        : m_starts(std::move(other.m_starts)), m_upstream(std::move(other.m_upstream)),
+        : m_gates(std::move(other.m_gates)), m_upstream(std::move(other.m_upstream)),
           m_terms(other.m_terms), m_isReserved(std::exchange(other.m_isReserved, false))
     {}
     auto operator=(start_reservation &&other) -> start_reservation & = delete;
@@ -38,23 +36,24 @@
     auto onSent() -> void
     {
         if (std::exchange(m_isReserved, false)) {
-            m_starts->onSent(m_upstream, m_terms, base::clock::now());
+            m_gates->onSent(m_upstream, m_terms, base::clock::now());
         }
     }
 
-    //! Reserves the start again after a request that was sent in vain. Returns false if the rate
-    //! doesn't allow it.
-    auto renew() -> bool
+    //! Reserves the start again after a request that was sent in vain.
+    //! Errors: those of `start_gates::tryReserve`.
+    auto renew() -> base::result<void>
     {
-        if (!m_starts || m_isReserved) {
-            return true;
+        if (m_isReserved) {
+            return {};
         }
-        m_isReserved = m_starts->tryReserve(m_upstream, m_terms, base::clock::now());
-        return m_isReserved;
+        auto reserved = m_gates->tryReserve(m_upstream, m_terms, base::clock::now());
+        m_isReserved = reserved.has_value();
+        return reserved;
     }
 
 private:
-    std::shared_ptr<start_gates> m_starts;
+    std::shared_ptr<start_gates> m_gates;
     base::upstream_id m_upstream;
     policy::cold_terms m_terms;
     bool m_isReserved = false;
--- a/src/upstream/internal/upstreamexchange.cpp
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -342,21 +342,6 @@
            || (!m_wire.notRun.empty() && m_parser->get().count(m_wire.notRun) > 0);
 }
 
-auto upstream_exchange::noticeInHead() -> upstream_notice
-{
-    upstream_notice notice;
-    for (const auto &field : m_parser->get()) {
-        const std::string_view name(field.name_string().data(), field.name_string().size());
-        const std::string_view value(field.value().data(), field.value().size());
-        if (equalIgnoreCase(name, m_wire.requestLimit)) {
-            addRequestLimit(notice, value);
-        }
-        notice.isLeaving = notice.isLeaving
-                           || (equalIgnoreCase(name, m_wire.leaving) && trimmed(value) == "1");
-    }
-    return notice;
-}
-
 // Reads answers up to the head of the one to this request and skips late ones to earlier requests.
 auto upstream_exchange::readMatchingHead() -> asio::awaitable<bool>
 {
@@ -395,7 +380,7 @@
         co_return;
     }
     if (m_parser->get().result_int() != MISDIRECTED_STATUS) {
-        m_onNotice(noticeInHead());
+        m_onNotice(noticeIn(m_parser->get(), m_wire));
     }
     if (isRefusal()) {
         const bool bodyRead = co_await skipBody();
--- a/src/upstream/internal/upstreamexchange.h
+++ b/src/upstream/internal/upstreamexchange.h
@@ -62,7 +62,6 @@
     auto skipBody() -> boost::asio::awaitable<bool>;
     auto belongsToRequest() -> bool;
     auto isRefusal() -> bool;
-    auto noticeInHead() -> upstream_notice;
     auto readPart() -> boost::asio::awaitable<std::optional<std::string>>;
     auto readMore() -> boost::asio::awaitable<bool>;
     auto forwardAnswerStart(std::string body) -> boost::asio::awaitable<bool>;
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -34,8 +34,8 @@
     if (load.lowestRank != policy::service_load{}.lowestRank) {
         out.__set_lowest_rank(static_cast<std::int32_t>(load.lowestRank));
     }
-    if (load.coldRate >= 0.0) {
-        out.__set_cold_rate(load.coldRate);
+    if (load.startRate >= 0.0) {
+        out.__set_start_rate(load.startRate);
     }
     return out;
 }
@@ -51,8 +51,8 @@
     if (load.__isset.lowest_rank) {
         out.lowestRank = static_cast<std::uint32_t>(load.lowest_rank);
     }
-    if (load.__isset.cold_rate) {
-        out.coldRate = load.cold_rate;
+    if (load.__isset.start_rate) {
+        out.startRate = load.start_rate;
     }
     return out;
 }
--- a/src/upstream/notice.h
+++ b/src/upstream/notice.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "upstream/wireprofile.h"
+
+#include <boost/beast/http/fields.hpp>
 #include <compare>
 #include <optional>
 #include <string_view>
@@ -23,7 +26,9 @@
 //! exponent; nothing for other text. Thread safety: pure.
 auto parseRequestLimit(std::string_view text) -> std::optional<double>;
 
-//! Adds the value of a header that names a request limit. Of several limits the lowest holds.
-auto addRequestLimit(upstream_notice &notice, std::string_view text) -> void;
+//! Returns what the headers of an answer say of its upstream. Of several limits the lowest holds.
+//! Thread safety: pure.
+auto noticeIn(const boost::beast::http::fields &headers, const wire_profile &wire)
+        -> upstream_notice;
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/startgates.h
+++ b/src/upstream/startgates.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "base/errorkind.h"
 #include "base/ids.h"
 #include "base/time.h"
 #include "policy/coldstartgate.h"
+#include "policy/requestlimit.h"
 #include "upstream/notice.h"
 
 #include <map>
@@ -12,8 +14,9 @@
 
 namespace hawthornpick::upstream {
 
-//! Gates of the upstreams of this host that may be cold, see `policy::cold_start_gate`, whether an
-//! upstream is being asked for its state, and what it says of itself in its answers.
+//! What limits the starts of requests at the upstreams of this host: the gates of those that may be
+//! cold (`policy::cold_start_gate`) and the limits that they name in their answers
+//! (`policy::request_limit`). Also whether an upstream is being asked for its state.
 //! Thread safety of all members: any thread.
 class start_gates
 {
@@ -35,9 +38,11 @@
     auto onAnswer(const base::upstream_id &upstream, base::incarnation incarnation,
                   base::duration coldRemaining, base::time_point askedAt, base::time_point now)
             -> void;
-    //! Records what an incarnation says of itself in an answer.
+    //! Records what an incarnation says of itself in the answer to a request that was sent at
+    //! `sentAt`.
     auto onNotice(const base::upstream_id &upstream, base::incarnation incarnation,
-                  const upstream_notice &notice) -> void;
+                  const upstream_notice &notice, base::time_point sentAt, base::time_point now)
+            -> void;
     //! Records that an incarnation may have restarted.
     auto onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
                  base::time_point now) -> void;
@@ -59,13 +64,17 @@
                                  const policy::cold_terms &terms, base::time_point now) const
             -> bool;
 
-    //! Returns false if no upstream of the service may get a request now, although there are some.
-    [[nodiscard]] auto hasFreeStart(const base::service_id &service,
-                                    const policy::cold_terms &terms, base::time_point now) const
-            -> bool;
-    //! As the members of `policy::cold_start_gate`. An unknown upstream gets nothing.
+    //! Refuses a request if no upstream of the service may get one now, although there are some.
+    //! Errors: `UpstreamCold`, `UpstreamLimited`.
+    [[nodiscard]] auto checkFreeStart(const base::service_id &service,
+                                      const policy::cold_terms &terms, base::time_point now) const
+            -> base::result<void>;
+    //! Reserves the start of a request as `policy::cold_start_gate` does, within the limit that the
+    //! upstream names. An unknown upstream gets nothing.
+    //! Errors: `UpstreamCold`, `UpstreamLimited`.
     auto tryReserve(const base::upstream_id &upstream, const policy::cold_terms &terms,
-                    base::time_point now) -> bool;
+                    base::time_point now) -> base::result<void>;
+    //! The following are as the members of `policy::cold_start_gate`.
     auto tryReserveQuestion(const base::upstream_id &upstream, const policy::cold_terms &terms,
                             base::time_point now) -> bool;
     [[nodiscard]] auto nextStart(const base::upstream_id &upstream, const policy::cold_terms &terms,
@@ -74,10 +83,11 @@
                 base::time_point now) -> void;
     auto cancelReservation(const base::upstream_id &upstream) -> void;
 
-    //! Returns the requests per second that the upstreams of a service are given because none of
-    //! them is warm; negative if one is, or if there are none. Logs changes of the state.
-    auto coldRateOf(const base::service_id &service, const policy::cold_terms &terms,
-                    base::time_point now) -> double;
+    //! Returns the requests per second that the upstreams of a service are given because each of
+    //! them is cold or names a limit; negative if one is neither, or if there are none. Logs
+    //! changes of the coldness.
+    auto startRateOf(const base::service_id &service, const policy::cold_terms &terms,
+                     base::time_point now) -> double;
 
 private:
     struct upstream_gate
@@ -90,6 +100,7 @@
         bool isLoggedAsWarm = true;
         base::time_point nextLog = base::time_point::min();
         policy::cold_start_gate gate;
+        policy::request_limit limit = {};
         upstream_notice notice = {};
     };
 
--- a/src/upstream/tests/coldprobetest.cpp
+++ b/src/upstream/tests/coldprobetest.cpp
@@ -232,7 +232,7 @@
 
     auto isCold()->bool
     {
-        return m_service->executorOf(0).loadOf(SERVICE)->coldRate >= 0.0;
+        return m_service->executorOf(0).loadOf(SERVICE)->startRate >= 0.0;
     }
 
     auto runFor(milliseconds time)->void
@@ -247,7 +247,7 @@
 TEST(cold_probe, upstreamInDoubtIsAskedAndThenServesAll)
 {
     CHECK(isCold());
-    DOUBLES_EQUAL(4.0, m_service->executorOf(0).loadOf(SERVICE)->coldRate, 1e-9);
+    DOUBLES_EQUAL(4.0, m_service->executorOf(0).loadOf(SERVICE)->startRate, 1e-9);
     CHECK(countRefused(20) >= 17);
     CHECK(m_standIn.requests <= 3);
     runFor(milliseconds(100));
--- a/tests/mesh/meshcaller.cpp
+++ b/tests/mesh/meshcaller.cpp
@@ -76,7 +76,7 @@
 auto mesh_caller::sendTo(int edge, const std::string &method, const std::string &target,
                          const std::string &body) -> std::optional<processtest::http_answer>
 {
-    const auto id = "id-" + std::to_string(++m_requestCount);
+    const auto id = m_name + "-" + std::to_string(++m_requestCount);
     processtest::http_client client(m_fleet.callerAddress(m_fleet.cores() + edge));
     return client.send(method, target, messages::requestHeaders(id, "wide", DEADLINE_MS), body);
 }
--- a/tests/mesh/meshcaller.h
+++ b/tests/mesh/meshcaller.h
@@ -17,8 +17,11 @@
 public:
     static constexpr std::uint64_t DEADLINE_MS = 4000;
 
+    //! `name` distinguishes the requests of several callers.
     //! Precondition: `fleet` outlives the object.
-    explicit mesh_caller(const testsupport::mesh_fleet &fleet) : m_fleet(fleet) {}
+    explicit mesh_caller(const testsupport::mesh_fleet &fleet, std::string name = "id")
+        : m_fleet(fleet), m_name(std::move(name))
+    {}
 
     //! Submits a configuration and waits until each node serves a request; false after 30 s.
     auto waitUntilServed() -> bool;
@@ -49,6 +52,7 @@
     auto submitRoute(const std::string &patch, const std::string &path) -> bool;
 
     const testsupport::mesh_fleet &m_fleet;
+    std::string m_name;
     base::random_source m_random{1};
     int m_requestCount = 0;
 };
--- a/tests/mesh/upstreamnoticetest.cpp
+++ b/tests/mesh/upstreamnoticetest.cpp
@@ -1,14 +1,17 @@
 #include "platform/internal/wirenames.h"
 #include "tests/mesh/meshcaller.h"
 
-#include <CppUTest/TestHarness.h>
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <future>
 #include <mutex>
 #include <unistd.h>
 
+// Defines `new` as a macro, which the headers of the standard library don't allow.
+#include <CppUTest/TestHarness.h>
+
 using namespace hawthornpick;
 using meshtest::mesh_caller;
 using testsupport::mesh_fleet;
@@ -16,12 +19,19 @@
 namespace {
 
 constexpr testsupport::fleet_size FLEET_SIZE{3, 4};
-constexpr base::milliseconds WORK_TIME{5};
+constexpr base::milliseconds WORK_TIME{60};
+//! Work time with which several requests start before the first one is answered.
+constexpr base::milliseconds LONG_WORK_TIME{400};
+//! Time between the requests of a caller.
+constexpr base::milliseconds PAUSE{50};
+//! Callers that send one request after the other.
+constexpr int CALLER_COUNT = 12;
 //! Time after which a limit that an upstream names must hold.
 constexpr base::milliseconds LIMIT_SETTLE_TIME{3000};
 constexpr base::milliseconds LIMIT_WINDOW{4000};
 //! Time after which a departure that an upstream names must hold.
 constexpr base::milliseconds DRAIN_TIME{2500};
+constexpr base::milliseconds RESTART_INTERVAL{1500};
 constexpr base::milliseconds OBSERVATION_TIME{6000};
 //! Node whose upstream is observed.
 constexpr int OBSERVED = FLEET_SIZE.cores;
@@ -53,7 +63,11 @@
                       return handle(node, std::move(incoming));
                   })
     {
-        CHECK_TEXT(m_caller.waitUntilServed(), "the fleet does not serve");
+        CHECK_TEXT(mesh_caller(m_fleet).waitUntilServed(), "the fleet does not serve");
+        for (int caller = 0; caller < CALLER_COUNT; ++caller) {
+            m_callers.push_back(
+                    std::make_unique<mesh_caller>(m_fleet, "c" + std::to_string(caller)));
+        }
     }
 
     auto processes() -> mesh_fleet & { return m_fleet; }
@@ -71,6 +85,8 @@
         m_notices.at(indexOf(node)).isLeaving = isLeaving;
     }
 
+    auto setWorkTime(base::milliseconds time) -> void { m_workTime = time; }
+
     //! Leaves the observed upstream as the only one.
     auto withdrawOthers() -> void
     {
@@ -83,18 +99,21 @@
     //! Sends requests for `span` to the nodes from `firstEdge` on, counted from 0.
     auto sendRequests(base::milliseconds span, int firstEdge = 0) -> request_counts
     {
-        request_counts counts;
         const auto end = base::clock::now() + span;
-        for (int i = 0; base::clock::now() < end; ++i) {
-            const int edge = firstEdge + i % (FLEET_SIZE.edges - firstEdge);
-            const auto answer = m_caller.sendTo(edge, "GET", "/r/1");
-            const bool isRefused = answer && answer->status == 503;
-            ++counts.sent;
-            counts.answered += answer && answer->status == 200 ? 1 : 0;
-            counts.refused += isRefused ? 1 : 0;
-            counts.withoutReturn += isRefused && answer->retryAfter.empty() ? 1 : 0;
+        std::vector<std::future<request_counts>> results;
+        for (const auto &caller : m_callers) {
+            results.push_back(std::async(std::launch::async,
+                                         [&] { return sendUntil(*caller, end, firstEdge); }));
         }
-        return counts;
+        request_counts sum;
+        for (auto &result : results) {
+            const auto counts = result.get();
+            sum.sent += counts.sent;
+            sum.answered += counts.answered;
+            sum.refused += counts.refused;
+            sum.withoutReturn += counts.withoutReturn;
+        }
+        return sum;
     }
 
     //! Returns the number of requests that reached the upstream beside a node since `start`.
@@ -127,6 +146,23 @@
         bool isLeaving = false;
     };
 
+    static auto sendUntil(mesh_caller &caller, base::time_point end, int firstEdge)
+            -> request_counts
+    {
+        request_counts counts;
+        for (int i = 0; base::clock::now() < end; ++i) {
+            const int edge = firstEdge + i % (FLEET_SIZE.edges - firstEdge);
+            const auto answer = caller.sendTo(edge, "GET", "/r/1");
+            const bool isRefused = answer && answer->status == 503;
+            ++counts.sent;
+            counts.answered += answer && answer->status == 200 ? 1 : 0;
+            counts.refused += isRefused ? 1 : 0;
+            counts.withoutReturn += isRefused && answer->retryAfter.empty() ? 1 : 0;
+            std::this_thread::sleep_for(PAUSE);
+        }
+        return counts;
+    }
+
     static auto indexOf(int node) -> std::size_t
     {
         return static_cast<std::size_t>(node - FLEET_SIZE.cores);
@@ -148,7 +184,8 @@
                 answer.headers[names.leaving] = "1";
             }
         }
-        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, WORK_TIME);
+        boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                        m_workTime.load());
         co_await timer.async_wait(boost::asio::use_awaitable);
         co_return answer;
     }
@@ -156,8 +193,9 @@
     std::mutex m_mutex;
     std::vector<notice> m_notices{FLEET_SIZE.edges};
     std::vector<std::vector<base::time_point>> m_arrivals{FLEET_SIZE.edges};
+    std::atomic<base::milliseconds> m_workTime{WORK_TIME};
     mesh_fleet m_fleet;
-    mesh_caller m_caller{m_fleet};
+    std::vector<std::unique_ptr<mesh_caller>> m_callers;
 };
 
 } // namespace
@@ -181,9 +219,12 @@
     }
     fleet.setLimit(OBSERVED, "");
     fleet.sendRequests(LIMIT_SETTLE_TIME);
+    fleet.withdrawOthers();
+    fleet.sendRequests(LIMIT_SETTLE_TIME);
     const auto start = base::clock::now();
-    fleet.sendRequests(OBSERVATION_TIME);
-    CHECK(fleet.mostSince(OBSERVED, start) > mostInWindow(1.0));
+    const auto counts = fleet.sendRequests(OBSERVATION_TIME);
+    CHECK(fleet.mostSince(OBSERVED, start) > mostInWindow(2.7));
+    LONGS_EQUAL(counts.sent, counts.answered);
 }
 
 // Guards against a node that restarts beside a limited upstream and knows of no limit, although the
@@ -192,13 +233,14 @@
 {
     noticing_fleet fleet("limit-restart");
     fleet.withdrawOthers();
+    fleet.setWorkTime(LONG_WORK_TIME);
     fleet.setLimit(OBSERVED, "1");
     fleet.sendRequests(LIMIT_SETTLE_TIME, 1);
     const auto start = base::clock::now();
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < 4; ++i) {
         fleet.processes().kill(OBSERVED);
         fleet.processes().start(OBSERVED);
-        fleet.sendRequests(LIMIT_SETTLE_TIME, 1);
+        fleet.sendRequests(RESTART_INTERVAL, 1);
     }
     fleet.sendRequests(OBSERVATION_TIME, 1);
     CHECK(fleet.mostSince(OBSERVED, start) <= mostInWindow(1.0));
