Tell a restarted node which limits its upstreams have named

Callers saw: nothing; the upstream got more than its limit after a restart of the node beside it, although the nodes where the requests begin had been told of the limit.

Cause: the limit was known to one process only. A new one gives the upstream as many requests as it has slots until the first answer, and again after each restart.

Change: with the head of an answer the executing node tells what the upstreams of the service have said; the entry node keeps it (told_statements) and tells it back with each request to that node. A new process takes it over until the upstream has answered it. Until then its reports are marked incomplete, so that they only add to what an entry node knows. Nothing is sent while no upstream names a limit, except the mark.

--- a/src/caller/internal/callerserver.cpp
+++ b/src/caller/internal/callerserver.cpp
@@ -128,7 +128,8 @@
     {
         std::unique_ptr<upstream::forwarder> remote;
         if (index < m_dependencies.links.size()) {
-            remote = std::make_unique<upstream::forwarder>(context, *m_dependencies.links[index]);
+            remote = std::make_unique<upstream::forwarder>(context, *m_dependencies.links[index],
+                                                           m_told);
         }
         auto entryContext = std::make_unique<entry_context>(
                 entry_dependencies{m_dependencies.node, m_dependencies.configuration,
@@ -194,6 +195,7 @@
     tcp::acceptor m_acceptor;
     // Kept, because the acceptor is closed during a drain.
     std::uint16_t m_port = 0;
+    upstream::told_statements m_told;
     std::vector<io_worker> m_workers;
     std::size_t m_nextWorker = 0;
     std::atomic<std::size_t> m_openConnections{0};
--- a/src/upstream/exchange.h
+++ b/src/upstream/exchange.h
@@ -5,6 +5,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "policy/slots.h"
+#include "upstream/statement.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <compare>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace hawthornpick::upstream {
 
@@ -53,6 +55,8 @@
     //! Longest acceptable expected wait for a slot. Above it the attempt is refused, so that the
     //! entry node can choose another node.
     base::duration maxWait = base::duration::max();
+    //! What the entry node has been told about the upstreams of the service on the executing node.
+    std::vector<upstream_statement> statements = {};
 
     auto operator<=>(const attempt_request &) const = default;
 };
--- a/src/upstream/forwarder.h
+++ b/src/upstream/forwarder.h
@@ -3,6 +3,7 @@
 #include "membership/view.h"
 #include "peer/link.h"
 #include "upstream/exchange.h"
+#include "upstream/toldstatements.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -27,9 +28,9 @@
     //! result, because only that node knows whether the request was started.
     static constexpr base::milliseconds DEADLINE_GRACE{50};
 
-    //! Precondition: `links` belongs to `context` and outlives the forwarder.
-    forwarder(boost::asio::io_context &context, peer::link_pool &links)
-        : m_context(context), m_links(links)
+    //! Precondition: `links` belongs to `context`; `links` and `told` outlive the forwarder.
+    forwarder(boost::asio::io_context &context, peer::link_pool &links, told_statements &told)
+        : m_context(context), m_links(links), m_told(told)
     {}
 
     //! Runs one attempt on another node. A failure before the request head was sent means that the
@@ -41,8 +42,14 @@
             -> boost::asio::awaitable<attempt_result>;
 
 private:
+    auto runOnLink(const remote_node &target, const attempt_request &request,
+                   const body_source &source, const answer_sink &sink, cancellation &cancel)
+            -> boost::asio::awaitable<attempt_result>;
+
     boost::asio::io_context &m_context;
     peer::link_pool &m_links;
+    //! What the executing nodes have told, which each request tells back.
+    told_statements &m_told;
 };
 
 } // namespace hawthornpick::upstream
--- a/src/upstream/idl/requestwire.thrift
+++ b/src/upstream/idl/requestwire.thrift
@@ -14,6 +14,14 @@
   8: optional double start_rate
 }
 
+// What an incarnation of an upstream has said of itself in its answers.
+struct upstream_statement {
+  1: string upstream
+  2: i64 incarnation
+  3: optional double request_limit
+  4: bool leaving
+}
+
 // Head of a request stream. `headers` holds the header lines to forward, each ended by CRLF. Fields
 // ending in `_ms` are remaining times or durations; -1 in `target_ms` and `max_wait_ms` means
 // unlimited.
@@ -40,6 +48,8 @@
   20: i64 target_ms
   21: i32 priority
   22: i64 max_wait_ms
+  // What the entry node has been told about the upstreams of the service on the executing node.
+  23: optional list<upstream_statement> statements
 }
 
 // Head of an answer stream. `refusal` is set if the request was not run or failed before the answer
@@ -53,6 +63,10 @@
   6: binary body
   7: bool body_complete
   8: optional load_report load
+  // What the upstreams of the service on this node have said.
+  9: optional list<upstream_statement> statements
+  // Set if an upstream hasn't answered this process yet.
+  10: optional bool statements_incomplete
 }
 
 // End of an answer stream. `failure` is an error kind; it is set if the answer is incomplete.
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -212,6 +212,7 @@
     if (cancel.reason()) {
         co_return attempt_result{base::error{*cancel.reason(), {}}, false, {}};
     }
+    recordStatements(request);
     if (const auto admitted = checkAdmission(request); !admitted) {
         co_return attempt_result{admitted.error(), false, {}};
     }
@@ -233,6 +234,13 @@
     co_return attempt_result{outcome.failure, outcome.answerStarted, {}};
 }
 
+auto executor_state::recordStatements(const attempt_request &request) -> void
+{
+    for (const auto &statement : request.statements) {
+        m_dependencies.startGates->onStatement(statement, base::clock::now());
+    }
+}
+
 auto executor_state::checkFreeStart(const attempt_request &request) -> base::result<void>
 {
     const auto terms = coldTermsOf(request.service);
--- a/src/upstream/internal/executorstate.h
+++ b/src/upstream/internal/executorstate.h
@@ -38,6 +38,12 @@
     //! itself here.
     auto loadOf(const base::service_id &service) -> std::optional<policy::service_load>;
 
+    //! Returns what the upstreams of a service on this node have said of themselves.
+    [[nodiscard]] auto statementsOf(const base::service_id &service) const -> statement_report
+    {
+        return m_dependencies.startGates->statementsOf(service);
+    }
+
     bool draining = false;
     std::size_t inFlightCount = 0;
 
@@ -55,6 +61,7 @@
     //! that fails here is not run.
     auto checkAdmission(const attempt_request &request) -> base::result<void>;
     auto checkKeyAndRoute(const attempt_request &request) -> base::result<void>;
+    auto recordStatements(const attempt_request &request) -> void;
     auto admitAndRun(const attempt_request &request, const body_source &source,
                      const answer_sink &sink, cancellation &cancel)
             -> boost::asio::awaitable<attempt_result>;
--- a/src/upstream/internal/forwarder.cpp
+++ b/src/upstream/internal/forwarder.cpp
@@ -19,15 +19,19 @@
 // A stream head has at most 64 KB, of which the header lines take at most 16 KB.
 constexpr std::size_t MAX_BODY_IN_HEAD_BYTES = 32UL * 1024;
 
+//! Called with what the executing node tells about its upstreams, before the answer is passed on.
+using report_function = std::function<void(const statement_report &report)>;
+
 // Sends one attempt on a stream to another node and receives its answer.
 class forwarded_attempt
 {
 public:
     forwarded_attempt(asio::io_context &context, peer::stream_pointer stream,
                       const attempt_request &request, const body_source &source,
-                      const answer_sink &sink)
+                      const answer_sink &sink, report_function onReport)
         : m_context(context), m_stream(std::move(stream)), m_request(request), m_source(source),
-          m_sink(sink), m_bodySenderFinished(context.get_executor())
+          m_sink(sink), m_onReport(std::move(onReport)),
+          m_bodySenderFinished(context.get_executor())
     {}
 
     auto run() -> asio::awaitable<attempt_result>
@@ -164,6 +168,7 @@
         if (!opening) {
             co_return base::fail(error_kind::OutcomeUnknown, "answer head cannot be decoded");
         }
+        m_onReport(opening->said);
         if (opening->refusal) {
             m_result.failure = opening->refusal;
             co_return base::result<void>{};
@@ -199,6 +204,7 @@
     const attempt_request &m_request;
     const body_source &m_source;
     const answer_sink &m_sink;
+    report_function m_onReport;
     attempt_result m_result;
     wake_signal m_bodySenderFinished;
     bool m_bodySenderRunning = false;
@@ -210,6 +216,19 @@
 auto forwarder::run(remote_node target, const attempt_request &request, const body_source &source,
                     const answer_sink &sink, cancellation &cancel)
         -> asio::awaitable<attempt_result>
+{
+    auto statements = m_told.statementsAbout(target.id, request.service);
+    if (statements.empty()) {
+        co_return co_await runOnLink(target, request, source, sink, cancel);
+    }
+    auto telling = request;
+    telling.statements = std::move(statements);
+    co_return co_await runOnLink(target, telling, source, sink, cancel);
+}
+
+auto forwarder::runOnLink(const remote_node &target, const attempt_request &request,
+                          const body_source &source, const answer_sink &sink, cancellation &cancel)
+        -> asio::awaitable<attempt_result>
 {
     auto stream = co_await m_links.openStream(target.id, target.address, target.incarnation);
     if (!stream) {
@@ -218,7 +237,10 @@
     if (cancel.reason()) {
         co_return attempt_result{base::error{*cancel.reason(), {}}, false, {}};
     }
-    forwarded_attempt attempt(m_context, std::move(*stream), request, source, sink);
+    const auto recordReport = [&](const statement_report &report) {
+        m_told.onReport(target.id, request.service, report, base::clock::now());
+    };
+    forwarded_attempt attempt(m_context, std::move(*stream), request, source, sink, recordReport);
     deadline_timer timer(m_context.get_executor());
     timer.set(request.deadline + DEADLINE_GRACE,
               [&attempt] { attempt.abort(error_kind::DeadlineAfterStart); });
--- a/src/upstream/internal/startgates.cpp
+++ b/src/upstream/internal/startgates.cpp
@@ -88,6 +88,34 @@
     }
 }
 
+auto start_gates::onStatement(const upstream_statement &statement, base::time_point now) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    auto *entry = find(statement.upstream);
+    if (entry != nullptr && entry->incarnation == statement.incarnation && statement.requestLimit) {
+        entry->limit.onFormerLimit(*statement.requestLimit, now);
+    }
+}
+
+auto start_gates::statementsOf(const base::service_id &service) const -> statement_report
+{
+    const std::lock_guard lock(m_mutex);
+    statement_report report;
+    bool hasUpstream = false;
+    for (const auto &[upstream, entry] : m_gates) {
+        if (entry.service != service || !entry.isLive) {
+            continue;
+        }
+        hasUpstream = true;
+        report.isComplete = report.isComplete && entry.limit.isConfirmed();
+        if (entry.limit.limit()) {
+            report.statements.push_back({upstream, entry.incarnation, entry.limit.limit(), false});
+        }
+    }
+    report.isComplete = report.isComplete && hasUpstream;
+    return report;
+}
+
 auto start_gates::onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
                           base::time_point now) -> void
 {
--- a/src/upstream/internal/streamserver.cpp
+++ b/src/upstream/internal/streamserver.cpp
@@ -109,11 +109,13 @@
     bool m_stopped = false;
 };
 
-auto makeAnswerSink(peer::stream &stream) -> answer_sink
+auto makeAnswerSink(peer::stream &stream, const executor_state &state,
+                    const base::service_id &service) -> answer_sink
 {
     answer_sink sink;
-    sink.start = [&stream](answer_start start) {
-        return stream.sendHead(encodeOpening({{}, std::move(start), {}}));
+    sink.start = [&stream, &state, &service](answer_start start) {
+        return stream.sendHead(
+                encodeOpening({{}, std::move(start), {}, state.statementsOf(service)}));
     };
     sink.data = [&stream](std::string part) {
         return stream.sendData(std::move(part));
@@ -123,9 +125,10 @@
 
 // The messages are built outside the co_await expressions, because GCC 12 destroys temporaries of
 // aggregate type in such an expression twice.
-auto sendResult(peer::stream &stream, const attempt_result &result) -> asio::awaitable<void>
+auto sendResult(peer::stream &stream, const attempt_result &result, const statement_report &said)
+        -> asio::awaitable<void>
 {
-    const answer_opening opening{result.failure, {}, result.load};
+    const answer_opening opening{result.failure, {}, result.load, said};
     const answer_closing closing{result.failure, result.load.value_or(policy::service_load{})};
     auto openingBytes = encodeOpening(opening);
     auto closingBytes = encodeClosing(closing);
@@ -165,9 +168,10 @@
                              [receiver] {
                                  receiver->stop();
                              }};
-    const auto result = co_await state->run(*request, source, makeAnswerSink(receiver->stream()),
-                                            receiver->cancel());
-    co_await sendResult(receiver->stream(), result);
+    const auto sink = makeAnswerSink(receiver->stream(), *state, request->service);
+    const auto result = co_await state->run(*request, source, sink, receiver->cancel());
+    const auto said = state->statementsOf(request->service);
+    co_await sendResult(receiver->stream(), result, said);
     receiver->stop();
 }
 
--- a/src/upstream/internal/wirecodec.cpp
+++ b/src/upstream/internal/wirecodec.cpp
@@ -57,6 +57,35 @@
     return out;
 }
 
+auto toWire(const std::vector<upstream_statement> &statements)
+        -> std::vector<wire::upstream_statement>
+{
+    std::vector<wire::upstream_statement> out;
+    for (const auto &item : statements) {
+        auto &added = out.emplace_back();
+        added.upstream = item.upstream.str();
+        added.incarnation = static_cast<std::int64_t>(item.incarnation);
+        added.leaving = item.isLeaving;
+        if (item.requestLimit) {
+            added.__set_request_limit(*item.requestLimit);
+        }
+    }
+    return out;
+}
+
+auto fromWire(const std::vector<wire::upstream_statement> &statements)
+        -> std::vector<upstream_statement>
+{
+    std::vector<upstream_statement> out;
+    for (const auto &item : statements) {
+        out.push_back(
+                {base::upstream_id(item.upstream), static_cast<base::incarnation>(item.incarnation),
+                 item.__isset.request_limit ? std::optional(item.request_limit) : std::nullopt,
+                 item.leaving});
+    }
+    return out;
+}
+
 auto errorFromWire(std::int8_t number, std::string detail) -> base::error
 {
     const auto kind = base::errorKindFromNumber(static_cast<std::uint8_t>(number));
@@ -96,6 +125,9 @@
                               ? UNLIMITED_MS
                               : base::toMilliseconds(request.maxWait);
     out.min_health_percent = static_cast<std::int32_t>(request.minHealth * PERCENT);
+    if (!request.statements.empty()) {
+        out.__set_statements(toWire(request.statements));
+    }
     return base::encodeThrift(out);
 }
 
@@ -136,6 +168,7 @@
     out.priority = static_cast<std::uint32_t>(in->priority);
     out.maxWait = in->max_wait_ms == UNLIMITED_MS ? base::duration::max()
                                                   : base::milliseconds(in->max_wait_ms);
+    out.statements = fromWire(in->statements);
     return out;
 }
 
@@ -156,6 +189,12 @@
     if (opening.load) {
         out.__set_load(toWire(*opening.load));
     }
+    if (!opening.said.statements.empty()) {
+        out.__set_statements(toWire(opening.said.statements));
+    }
+    if (!opening.said.isComplete) {
+        out.__set_statements_incomplete(true);
+    }
     return base::encodeThrift(out);
 }
 
@@ -179,6 +218,7 @@
     if (in->__isset.load) {
         out.load = fromWire(in->load);
     }
+    out.said = {fromWire(in->statements), !in->__isset.statements_incomplete};
     return out;
 }
 
--- a/src/upstream/startgates.h
+++ b/src/upstream/startgates.h
@@ -6,6 +6,7 @@
 #include "policy/coldstartgate.h"
 #include "policy/requestlimit.h"
 #include "upstream/notice.h"
+#include "upstream/statement.h"
 
 #include <map>
 #include <mutex>
@@ -43,6 +44,11 @@
     auto onNotice(const base::upstream_id &upstream, base::incarnation incarnation,
                   const upstream_notice &notice, base::time_point sentAt, base::time_point now)
             -> void;
+    //! Records what an incarnation said to a former process of this node, as another node tells. It
+    //! counts until the first answer to this process.
+    auto onStatement(const upstream_statement &statement, base::time_point now) -> void;
+    //! Returns what the upstreams of a service have said.
+    [[nodiscard]] auto statementsOf(const base::service_id &service) const -> statement_report;
     //! Records that an incarnation may have restarted.
     auto onDoubt(const base::upstream_id &upstream, base::incarnation incarnation,
                  base::time_point now) -> void;
--- a/src/upstream/wirecodec.h
+++ b/src/upstream/wirecodec.h
@@ -14,6 +14,8 @@
     std::optional<base::error> refusal;
     answer_start start;
     std::optional<policy::service_load> load;
+    //! What the upstreams of the service on the executing node have said.
+    statement_report said = {};
 };
 
 //! Content of the end event of an answer stream.
