End the use of an upstream that answers that it leaves

Callers saw: requests that an upstream which had said in its answers that it leaves went on getting (278 in 6 s, later than 2.5 s after the first such answer) are lost when it ends.

Cause: a departure was known from announcements only; the header in the answers was not read.

Change: the node beside the upstream marks the incarnation as leaving before it passes the answer on, as for an announcement with the state draining: waiting requests are refused, the record is published, hubs keep it in their files, a later start is free.

--- a/src/upstream/executor.h
+++ b/src/upstream/executor.h
@@ -42,6 +42,10 @@
     //! Asks an upstream that is in doubt for its state and then calls `start_gates::endQuestion`.
     //! Thread safety: any thread.
     std::function<void(const base::upstream_id &upstream)> askUpstream = {};
+    //! Records that an incarnation of an upstream has said that it leaves. Thread safety: any
+    //! thread.
+    std::function<void(const base::upstream_id &upstream, base::incarnation incarnation)>
+            markLeaving = {};
 };
 
 class executor_state;
--- a/src/upstream/internal/executorstate.cpp
+++ b/src/upstream/internal/executorstate.cpp
@@ -238,6 +238,20 @@
 {
     for (const auto &statement : request.statements) {
         m_dependencies.startGates->onStatement(statement, base::clock::now());
+        if (statement.isLeaving && m_dependencies.markLeaving) {
+            m_dependencies.markLeaving(statement.upstream, statement.incarnation);
+        }
+    }
+}
+
+auto executor_state::recordNotice(const upstream_record &target, const upstream_notice &notice,
+                                  base::time_point sentAt) -> void
+{
+    const auto &entry = target.entry;
+    m_dependencies.startGates->onNotice(entry.id, entry.incarnation, notice, sentAt,
+                                        base::clock::now());
+    if (notice.isLeaving && m_dependencies.markLeaving) {
+        m_dependencies.markLeaving(entry.id, entry.incarnation);
     }
 }
 
@@ -351,9 +365,8 @@
     }
     const auto service = serviceSettingsOf(request);
     base::time_point sentAt;
-    const auto recordNotice = [&](const upstream_notice &notice) {
-        m_dependencies.startGates->onNotice(target.entry.id, target.entry.incarnation, notice,
-                                            sentAt, base::clock::now());
+    const auto onNotice = [&](const upstream_notice &notice) {
+        recordNotice(target, notice, sentAt);
     };
     exchange_result result;
     for (bool openNew = false, retry = true; retry;) {
@@ -377,7 +390,7 @@
         start.reservation.onSent();
         (*connection)->addRequest(request.requestId);
         upstream_exchange exchange(**connection, request, m_dependencies.wire, target.name,
-                                   service.timeout, source, sink, cancel, recordNotice);
+                                   service.timeout, source, sink, cancel, onNotice);
         result = co_await exchange.run();
         retry = !openNew
                 && mayRetryOnNewConnection(result, request, (*connection)->reused,
--- a/src/upstream/internal/executorstate.h
+++ b/src/upstream/internal/executorstate.h
@@ -61,6 +61,8 @@
     //! that fails here is not run.
     auto checkAdmission(const attempt_request &request) -> base::result<void>;
     auto checkKeyAndRoute(const attempt_request &request) -> base::result<void>;
+    auto recordNotice(const upstream_record &target, const upstream_notice &notice,
+                      base::time_point sentAt) -> void;
     auto recordStatements(const attempt_request &request) -> void;
     auto admitAndRun(const attempt_request &request, const body_source &source,
                      const answer_sink &sink, cancellation &cancel)
--- a/src/upstream/internal/registry.cpp
+++ b/src/upstream/internal/registry.cpp
@@ -178,6 +178,26 @@
            && (upstream != nullptr || m_registrations.size() < MAX_REGISTRATIONS);
 }
 
+auto upstream_registry::markLeaving(const base::upstream_id &id, base::incarnation incarnation)
+        -> void
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[name, upstream] : m_registrations) {
+        const auto &entry = upstream.record->entry;
+        if (entry.id != id || entry.incarnation != incarnation || entry.isLeaving) {
+            continue;
+        }
+        auto leaving = *upstream.record;
+        leaving.entry.isLeaving = true;
+        if (isLive(leaving)) {
+            leaving.entry.state = upstream_state::Draining;
+            upstream.announcedState = upstream_state::Draining;
+        }
+        storeRecord(upstream, std::move(leaving));
+        return;
+    }
+}
+
 auto upstream_registry::withdraw(const std::string &name, base::time_point now) -> withdraw_result
 {
     const std::lock_guard lock(m_mutex);
--- a/src/upstream/internal/startgates.cpp
+++ b/src/upstream/internal/startgates.cpp
@@ -82,7 +82,9 @@
         return;
     }
     logChange(upstream, entry->notice, notice);
+    const bool wasLeaving = entry->notice.isLeaving;
     entry->notice = notice;
+    entry->notice.isLeaving = wasLeaving || notice.isLeaving;
     if (notice.requestLimit || !notice.isLimitUnreadable) {
         entry->limit.onAnswer(notice.requestLimit, sentAt, now);
     }
@@ -92,7 +94,11 @@
 {
     const std::lock_guard lock(m_mutex);
     auto *entry = find(statement.upstream);
-    if (entry != nullptr && entry->incarnation == statement.incarnation && statement.requestLimit) {
+    if (entry == nullptr || entry->incarnation != statement.incarnation) {
+        return;
+    }
+    entry->notice.isLeaving = entry->notice.isLeaving || statement.isLeaving;
+    if (statement.requestLimit) {
         entry->limit.onFormerLimit(*statement.requestLimit, now);
     }
 }
@@ -103,13 +109,17 @@
     statement_report report;
     bool hasUpstream = false;
     for (const auto &[upstream, entry] : m_gates) {
-        if (entry.service != service || !entry.isLive) {
+        if (entry.service != service) {
             continue;
         }
-        hasUpstream = true;
-        report.isComplete = report.isComplete && entry.limit.isConfirmed();
-        if (entry.limit.limit()) {
-            report.statements.push_back({upstream, entry.incarnation, entry.limit.limit(), false});
+        const auto limit = entry.isLive ? entry.limit.limit() : std::nullopt;
+        if (limit || entry.notice.isLeaving) {
+            report.statements.push_back(
+                    {upstream, entry.incarnation, limit, entry.notice.isLeaving});
+        }
+        if (entry.isLive) {
+            hasUpstream = true;
+            report.isComplete = report.isComplete && entry.limit.isConfirmed();
         }
     }
     report.isComplete = report.isComplete && hasUpstream;
--- a/src/upstream/internal/upstreamservice.cpp
+++ b/src/upstream/internal/upstreamservice.cpp
@@ -37,12 +37,16 @@
     for (auto *context : m_contexts) {
         m_executors.push_back(std::make_unique<executor>(
                 *context,
-                executor_dependencies{dependencies.nodeIncarnation, dependencies.configuration,
-                                      m_registry.table(), dependencies.hooks, dependencies.wire,
-                                      dependencies.options, m_registry.startGates(),
-                                      [probe = m_coldProbe](const base::upstream_id &upstream) {
-                                          probe->ask(upstream);
-                                      }}));
+                executor_dependencies{
+                        dependencies.nodeIncarnation, dependencies.configuration,
+                        m_registry.table(), dependencies.hooks, dependencies.wire,
+                        dependencies.options, m_registry.startGates(),
+                        [probe = m_coldProbe](const base::upstream_id &upstream) {
+                            probe->ask(upstream);
+                        },
+                        [this](const base::upstream_id &upstream, base::incarnation incarnation) {
+                            m_registry.markLeaving(upstream, incarnation);
+                        }}));
     }
 }
 
--- a/src/upstream/registry.h
+++ b/src/upstream/registry.h
@@ -136,6 +136,11 @@
     //! a known service.
     auto announce(const announcement &received, base::time_point now) -> announce_result;
 
+    //! Records that an incarnation has said in an answer that it leaves. As final as an
+    //! announcement with the state `Draining`. Other incarnations than the registered one are
+    //! ignored.
+    auto markLeaving(const base::upstream_id &id, base::incarnation incarnation) -> void;
+
     //! Marks an upstream as withdrawn and gone.
     auto withdraw(const std::string &name, base::time_point now) -> withdraw_result;
 
--- a/src/upstream/startgates.h
+++ b/src/upstream/startgates.h
@@ -40,12 +40,12 @@
                   base::duration coldRemaining, base::time_point askedAt, base::time_point now)
             -> void;
     //! Records what an incarnation says of itself in the answer to a request that was sent at
-    //! `sentAt`.
+    //! `sentAt`. An incarnation that has said that it leaves doesn't take that back.
     auto onNotice(const base::upstream_id &upstream, base::incarnation incarnation,
                   const upstream_notice &notice, base::time_point sentAt, base::time_point now)
             -> void;
-    //! Records what an incarnation said to a former process of this node, as another node tells. It
-    //! counts until the first answer to this process.
+    //! Records what an incarnation said to a former process of this node, as another node tells. A
+    //! limit counts until the first answer to this process, a departure for good.
     auto onStatement(const upstream_statement &statement, base::time_point now) -> void;
     //! Returns what the upstreams of a service have said.
     [[nodiscard]] auto statementsOf(const base::service_id &service) const -> statement_report;
--- a/src/upstream/tests/registrytest.cpp
+++ b/src/upstream/tests/registrytest.cpp
@@ -190,3 +190,26 @@
     const auto end = START + upstream_registry::UNKNOWN_WITHDRAWAL_LIFE;
     CHECK(unrelated.announce(upstream_state::Ready, 6, 1, "u", end) == announce_result::Accepted);
 }
+
+// Guards against a departure that is said in an answer and undone by a heartbeat, that binds
+// another incarnation, or that ends with the process.
+TEST(upstream_registry, departureSaidInAnAnswerHolds)
+{
+    former_process node;
+    const base::upstream_id id(NODE.str() + "/u");
+    CHECK(node.announce(upstream_state::Ready, 5) == announce_result::Accepted);
+    node->markLeaving(id, 4);
+    CHECK(node.stateOf("u") == upstream_state::Ready);
+    node->markLeaving(id, 5);
+    CHECK(node.stateOf("u") == upstream_state::Draining);
+    node.checkHasLeft(5);
+    node->allowUse();
+    CHECK(node.stateOf("u") == upstream_state::Draining);
+
+    process successor(upstream::initial_use::Withheld);
+    successor->restore(node->entries(), START);
+    successor->allowUse();
+    successor.checkHasLeft(5);
+    CHECK(successor.announce(upstream_state::Ready, 6) == announce_result::Accepted);
+    CHECK(successor.stateOf("u") == upstream_state::Ready);
+}
