Take only statuses from 200 to 599 as answers of an upstream

Callers saw (MIXED): an upstream answered with status 000, 001 or 099. The caller waited for its deadline (504), or, if the body held a whole answer, got that as the answer: 200 with forged bytes. Statuses from 600 on were passed on.

Cause: every status below 200 counted as an interim answer, whose body is what follows it; there was no upper bound. Class: bytes that are no answer in the protocol, read as if they were.

Change: 100 and 102 to 199 are interim, 200 to 599 final; anything else fails the attempt as upstream_failed (502 at once, outcome unknown, repeated elsewhere if the route allows it) and closes the connection. The same for the answer to a health question. The client of webapi reads one answer on a connection of its own and counts other statuses than the expected ones as failures already.

--- a/src/base/errorkind.h
+++ b/src/base/errorkind.h
@@ -114,6 +114,22 @@
     return status >= FIRST_SERVER_ERROR;
 }
 
+//! Returns true for the statuses of interim answers (1xx). Thread safety: pure.
+inline auto isInterimStatus(unsigned status) -> bool
+{
+    constexpr unsigned FIRST_INTERIM = 100;
+    constexpr unsigned LAST_INTERIM = 199;
+    return status >= FIRST_INTERIM && status <= LAST_INTERIM;
+}
+
+//! Returns true for the statuses of final answers (RFC 9110, section 15). Thread safety: pure.
+inline auto isFinalStatus(unsigned status) -> bool
+{
+    constexpr unsigned FIRST_FINAL = 200;
+    constexpr unsigned LAST_FINAL = 599;
+    return status >= FIRST_FINAL && status <= LAST_FINAL;
+}
+
 //! Returns the error table, in the order of the enumerators. Thread safety: pure.
 auto errorTable() -> std::span<const error_answer>;
 
--- a/src/upstream/internal/coldprobe.cpp
+++ b/src/upstream/internal/coldprobe.cpp
@@ -256,6 +256,9 @@
         co_return false;
     }
     const auto &answer = parser.get();
+    if (!base::isFinalStatus(answer.result_int())) {
+        co_return false;
+    }
     if (headerOf(answer, m_wire.upstreamId) == record.name) {
         m_startGates->onNotice(id, record.entry.incarnation, noticeIn(answer, m_wire), askTime,
                                base::clock::now());
--- a/src/upstream/internal/upstreamexchange.cpp
+++ b/src/upstream/internal/upstreamexchange.cpp
@@ -294,13 +294,17 @@
             continue;
         }
         const auto status = m_parser->get().result_int();
-        if (status >= 200) {
+        if (base::isFinalStatus(status)) {
             co_return true;
         }
         if (status == 101) {
             failRead("the upstream answered 101 Switching Protocols to a request without Upgrade");
             co_return false;
         }
+        if (!base::isInterimStatus(status)) {
+            failRead("the upstream answered with an invalid status");
+            co_return false;
+        }
         ++interimAnswers;
         resetParser();
     }
