Refuse soon where all upstreams of a service are limited

Cause: where every upstream names a limit, a request was sent from one to the next, six times: 2.6 vain attempts a request with 25 entry nodes, 5.4 with 200 (virtual time, 17 upstreams with a limit of 1, 125 requests a second). An entry node forgot a limit 3 s after it had heard of it, long before it sent there again.

Change: after two refusals for the start rate no third upstream is tried beyond this node's share; a reported start rate counts for 10 s instead of 3.

--- a/src/policy/internal/placement.cpp
+++ b/src/policy/internal/placement.cpp
@@ -129,8 +129,10 @@
         }
         hasRoom = hasRoom || (!isLimited && hasFreeSlot(state, place.upstream->slots, now));
     }
-    const bool usesLimited = bestLimited && !hasRoom && !request.needsFreeSlot
-                             && (!best || bestLimitedScore > bestScore);
+    const bool mayExceedShare = !hasRoom && !request.needsFreeSlot
+                                && startRefusalsOf(request, now) < MAX_START_REFUSALS;
+    const bool usesLimited =
+            bestLimited && mayExceedShare && (!best || bestLimitedScore > bestScore);
     if (usesLimited) {
         return *bestLimited;
     }
@@ -173,6 +175,16 @@
     return std::nullopt;
 }
 
+// Returns how many upstreams have refused the request for their start rate just before.
+auto placement::startRefusalsOf(const placement_request &request, base::time_point now) const
+        -> std::ptrdiff_t
+{
+    const auto &nodes = request.excludedNodes;
+    return std::count_if(nodes.begin(), nodes.end(), [&](const base::node_id &node) {
+        return stateOf(node, request.service).startRefusedUntil > now;
+    });
+}
+
 auto placement::checkPlaceable(const membership::view &view, const placement_request &request,
                                base::time_point now) -> base::result<void>
 {
@@ -419,7 +431,7 @@
     if (state.startRefusedUntil > now) {
         return start_state::Refusing;
     }
-    if (state.load.startRate < 0.0 || reportWeight(state, now) <= 0.0) {
+    if (state.load.startRate < 0.0 || now - state.reportedAt >= MAX_START_RATE_AGE) {
         return start_state::Unlimited;
     }
     return startTokens(state, entryNodeCount, now) >= 1.0 ? start_state::WithinShare
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -68,15 +68,18 @@
 //!
 //! An upstream that may be given few requests a second by all nodes together, because it is cold or
 //! names a limit, competes only while this node hasn't used its share of that rate. Beyond it, the
-//! upstream is chosen only if no other one has a free slot and it hasn't refused a request for its
-//! rate just before. Load pattern: the work of a failure domain returns to upstreams that have all
-//! just started.
-//! Thread safety of all members: one thread.
+//! upstream is chosen only if no other one has a free slot, it hasn't refused a request for its
+//! rate just before, and few others have refused this request so. Load pattern: the work of a
+//! failure domain returns to upstreams that have all just started. Thread safety of all members:
+//! one thread.
 class placement
 {
 public:
     //! Age at which a report no longer contributes to an estimate.
     static constexpr base::milliseconds MAX_REPORT_AGE{3000};
+    //! Age at which a reported start rate no longer counts. An upstream that may be given few
+    //! requests reports rarely.
+    static constexpr base::milliseconds MAX_START_RATE_AGE{10'000};
     //! Success probability of an upstream without a recent report: instances of a service fail
     //! about 30% of the time.
     static constexpr double DEFAULT_HEALTH = 0.75;
@@ -95,6 +98,11 @@
     static constexpr base::milliseconds FIRST_PATH_BACKOFF{300};
     static constexpr base::milliseconds MAX_PATH_BACKOFF{2400};
 
+    //! Upstreams that have refused a request for their start rate after which no other one is
+    //! chosen beyond this node's share, so that a request is refused soon where all upstreams are
+    //! limited.
+    static constexpr std::ptrdiff_t MAX_START_REFUSALS = 2;
+
     placement(placement_settings settings, std::uint64_t seed);
 
     //! Chooses an upstream and counts the request as in flight there.
@@ -182,6 +190,8 @@
     [[nodiscard]] auto refusalFor(const membership::upstream_place &place,
                                   const placement_request &request, base::time_point now) const
             -> std::optional<base::error_kind>;
+    [[nodiscard]] auto startRefusalsOf(const placement_request &request, base::time_point now) const
+            -> std::ptrdiff_t;
     auto countInFlight(const membership::node_entry &node, const base::service_id &service) -> void;
     auto requestsPerSecond(const base::service_id &service, base::time_point now) -> double;
     [[nodiscard]] auto trialCandidates(const membership::view &view,
