--- a/src/upstream/internal/startgates.cpp
+++ b/src/upstream/internal/startgates.cpp
@@ -39,7 +39,8 @@
     }
     if (isNewIncarnation) {
         entry->limit = {};
-        entry->notice = {};
+        entry->isLimitUnreadable = false;
+        entry->isLeaving = false;
     }
     entry->service = service;
     entry->incarnation = incarnation;
@@ -81,13 +82,21 @@
     if (entry == nullptr || entry->incarnation != incarnation) {
         return;
     }
-    logChange(upstream, entry->notice, notice);
-    const bool wasLeaving = entry->notice.isLeaving;
-    entry->notice = notice;
-    entry->notice.isLeaving = wasLeaving || notice.isLeaving;
-    if (notice.requestLimit || !notice.isLimitUnreadable) {
+    const bool tellsLimit = notice.requestLimit || !notice.isLimitUnreadable;
+    if (tellsLimit) {
+        const auto previous = entry->limit.limit();
         entry->limit.onAnswer(notice.requestLimit, sentAt, now);
+        logLimit(upstream, previous, entry->limit.limit());
+    } else if (!entry->isLimitUnreadable) {
+        base::log(base::log_level::Warning, "request limit of an upstream can't be read",
+                  {{"upstream", upstream.str()}});
+    }
+    entry->isLimitUnreadable = !tellsLimit;
+    if (notice.isLeaving && !entry->isLeaving) {
+        base::log(base::log_level::Info, "upstream answers that it leaves",
+                  {{"upstream", upstream.str()}});
     }
+    entry->isLeaving = entry->isLeaving || notice.isLeaving;
 }
 
 auto start_gates::onStatement(const upstream_statement &statement, base::time_point now) -> void
@@ -97,7 +106,7 @@
     if (entry == nullptr || entry->incarnation != statement.incarnation) {
         return;
     }
-    entry->notice.isLeaving = entry->notice.isLeaving || statement.isLeaving;
+    entry->isLeaving = entry->isLeaving || statement.isLeaving;
     if (statement.requestLimit) {
         entry->limit.onFormerLimit(*statement.requestLimit, now);
     }
@@ -113,9 +122,8 @@
             continue;
         }
         const auto limit = entry.isLive ? entry.limit.limit() : std::nullopt;
-        if (limit || entry.notice.isLeaving) {
-            report.statements.push_back(
-                    {upstream, entry.incarnation, limit, entry.notice.isLeaving});
+        if (limit || entry.isLeaving) {
+            report.statements.push_back({upstream, entry.incarnation, limit, entry.isLeaving});
         }
         if (entry.isLive) {
             hasUpstream = true;
@@ -295,25 +303,17 @@
     return hasUpstream ? sum : UNLIMITED;
 }
 
-auto start_gates::logChange(const base::upstream_id &upstream, const upstream_notice &previous,
-                            const upstream_notice &notice) -> void
+auto start_gates::logLimit(const base::upstream_id &upstream, std::optional<double> previous,
+                           std::optional<double> limit) -> void
 {
-    if (notice.isLimitUnreadable && !previous.isLimitUnreadable) {
-        base::log(base::log_level::Warning, "request limit of an upstream can't be read",
-                  {{"upstream", upstream.str()}});
-    }
-    if (notice.requestLimit && notice.requestLimit != previous.requestLimit) {
+    if (limit && limit != previous) {
         base::log(base::log_level::Info, "upstream names a request limit",
-                  {{"upstream", upstream.str()}, {"per_second", *notice.requestLimit}});
+                  {{"upstream", upstream.str()}, {"per_second", *limit}});
     }
-    if (!notice.requestLimit && previous.requestLimit) {
+    if (!limit && previous) {
         base::log(base::log_level::Info, "upstream names no request limit any more",
                   {{"upstream", upstream.str()}});
     }
-    if (notice.isLeaving && !previous.isLeaving) {
-        base::log(base::log_level::Info, "upstream answers that it leaves",
-                  {{"upstream", upstream.str()}});
-    }
 }
 
 auto start_gates::logState(const base::upstream_id &upstream, upstream_gate &entry,
--- a/src/upstream/startgates.h
+++ b/src/upstream/startgates.h
@@ -107,7 +107,9 @@
         base::time_point nextLog = base::time_point::min();
         policy::cold_start_gate gate;
         policy::request_limit limit = {};
-        upstream_notice notice = {};
+        bool isLimitUnreadable = false;
+        //! True if the incarnation has said in an answer that it leaves.
+        bool isLeaving = false;
     };
 
     //! Precondition: the lock is held.
@@ -115,8 +117,8 @@
     [[nodiscard]] auto find(const base::upstream_id &upstream) const -> const upstream_gate *;
     static auto logState(const base::upstream_id &upstream, upstream_gate &entry,
                          policy::cold_state state, base::time_point now) -> void;
-    static auto logChange(const base::upstream_id &upstream, const upstream_notice &previous,
-                          const upstream_notice &notice) -> void;
+    static auto logLimit(const base::upstream_id &upstream, std::optional<double> previous,
+                         std::optional<double> limit) -> void;
 
     mutable std::mutex m_mutex;
     std::map<base::upstream_id, upstream_gate> m_gates;
