soak: excuse cuts for limits only, and no loss or delay

The rule on departures binds nodes that are cut off as well, and loss, delay and resets of links excuse neither rule.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -286,10 +286,6 @@
     }
 
 private:
-    //! Values in place of the node that a fault concerns.
-    static constexpr int ALL_NODES = -1;
-    static constexpr int NO_NODE = -2;
-
     struct fault
     {
         base::time_point endsAt;
@@ -302,31 +298,13 @@
         return static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_fleet.size())));
     }
 
-    // The node that a fault concerns is disturbed when it begins and when it ends.
-    auto add(int node, std::vector<faultproxy::rule> rules, std::function<void()> mendIt) -> void
+    auto add(std::vector<faultproxy::rule> rules, std::function<void()> mendIt) -> void
     {
-        disturbNode(node);
         const auto length = base::milliseconds(300 + m_random.below(3000));
-        m_faults.push_back({base::clock::now() + length,
-                            [this, node, mendIt = std::move(mendIt)] {
-                                if (mendIt) {
-                                    mendIt();
-                                }
-                                disturbNode(node);
-                            },
-                            std::move(rules)});
+        m_faults.push_back({base::clock::now() + length, std::move(mendIt), std::move(rules)});
         applyRules();
     }
 
-    auto disturbNode(int node) -> void
-    {
-        for (int other = 0; other < m_fleet.size(); ++other) {
-            if (node == ALL_NODES || node == other) {
-                m_notices.onDisturbed(other);
-            }
-        }
-    }
-
     auto inject() -> void
     {
         switch (m_random.below(7)) {
@@ -350,18 +328,24 @@
     auto stopProcess(int node, int number) -> void
     {
         log("signal " + std::to_string(number), node);
+        m_notices.onStopped(node);
         m_fleet.signal(node, number);
-        add(node, {}, [this, node] {
+        add({}, [this, node] {
             m_fleet.kill(node);
             m_fleet.start(node);
+            m_notices.onStopped(node);
         });
     }
 
     auto freeze(int node) -> void
     {
         log("freeze", node);
+        m_notices.onStopped(node);
         m_fleet.signal(node, SIGSTOP);
-        add(node, {}, [this, node] { m_fleet.signal(node, SIGCONT); });
+        add({}, [this, node] {
+            m_fleet.signal(node, SIGCONT);
+            m_notices.onStopped(node);
+        });
     }
 
     auto killCores() -> void
@@ -373,7 +357,7 @@
         for (int node = 0; node < m_fleet.cores(); ++node) {
             m_fleet.kill(node);
         }
-        add(NO_NODE, {}, [this] {
+        add({}, [this] {
             for (int node = 0; node < m_fleet.cores(); ++node) {
                 m_fleet.start(node);
             }
@@ -397,7 +381,8 @@
                 rules.push_back(rule);
             }
         }
-        add(node, std::move(rules), nullptr);
+        m_notices.onCut(node);
+        add(std::move(rules), [this, node] { m_notices.onCut(node); });
     }
 
     auto disturb() -> void
@@ -405,8 +390,7 @@
         using enum faultproxy::fault_kind;
         log("delay, loss or reset on all links", -1);
         const auto kind = std::array{Delay, Loss, Reset}.at(m_random.below(3));
-        add(ALL_NODES,
-            {{"", "", std::nullopt, kind, kind == Delay ? 20 + m_random.below(200) : 20}}, nullptr);
+        add({{"", "", std::nullopt, kind, kind == Delay ? 20 + m_random.below(200) : 20}}, nullptr);
     }
 
     auto applyRules() -> void
@@ -427,7 +411,9 @@
             }
             const auto ended = std::move(m_faults[i]);
             m_faults.erase(m_faults.begin() + static_cast<std::ptrdiff_t>(i));
-            ended.mend();
+            if (ended.mend) {
+                ended.mend();
+            }
         }
         applyRules();
     }
--- a/tests/soak/noticepromises.cpp
+++ b/tests/soak/noticepromises.cpp
@@ -26,13 +26,19 @@
     }
 }
 
-auto notice_promises::onDisturbed(int node) -> void
+auto notice_promises::onStopped(int node) -> void
 {
     const std::lock_guard lock(m_mutex);
     m_limitTold.erase(node);
     m_leavingTold.erase(node);
 }
 
+auto notice_promises::onCut(int node) -> void
+{
+    const std::lock_guard lock(m_mutex);
+    m_limitTold.erase(node);
+}
+
 auto notice_promises::onLimitedRun(const std::string &id, base::time_point now) -> void
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/soak/noticepromises.h
+++ b/tests/soak/noticepromises.h
@@ -10,8 +10,8 @@
 namespace hawthornpick::soak {
 
 //! Checks that what two upstreams say in their answers holds: one names a limit, one leaves. Only
-//! requests count that began at nodes which had passed such an answer on, and which were neither
-//! restarted nor frozen nor cut off since.
+//! requests count that began at nodes which had passed such an answer on and were not restarted or
+//! frozen since; for the limit, not cut off either.
 //! Thread safety of all members: any thread.
 class notice_promises
 {
@@ -30,8 +30,10 @@
     //! The caller got the answer, which names a limit or says that the upstream leaves.
     auto onAnswer(const std::string &id, bool namesLimit, bool saysLeaving, base::time_point now)
             -> void;
-    //! A node is restarted, frozen or cut off, or has just been.
-    auto onDisturbed(int node) -> void;
+    //! A node is restarted or frozen, or has just been.
+    auto onStopped(int node) -> void;
+    //! A node is cut off from others, or has just been.
+    auto onCut(int node) -> void;
 
     //! The upstream that names the limit, or the one that leaves, begins to run a request.
     auto onLimitedRun(const std::string &id, base::time_point now) -> void;
