Check once which upstream answered a health question

From a last read of the change: cold_probe compared the name in the answer twice, and the soak had its own conversion to lower case beside that of Boost, which http_client uses already.

Behaviour stays: an answer without the name of the upstream, or with an invalid status, was not used before either; now it is left at one place.

--- a/src/upstream/internal/coldprobe.cpp
+++ b/src/upstream/internal/coldprobe.cpp
@@ -256,15 +256,15 @@
         co_return false;
     }
     const auto &answer = parser.get();
-    if (!base::isFinalStatus(answer.result_int())) {
+    const bool isFromUpstream = base::isFinalStatus(answer.result_int())
+                                && headerOf(answer, m_wire.upstreamId) == record.name;
+    if (!isFromUpstream) {
         co_return false;
     }
-    if (headerOf(answer, m_wire.upstreamId) == record.name) {
-        m_startGates->onNotice(id, record.entry.incarnation, noticeIn(answer, m_wire), askTime,
-                               base::clock::now());
-    }
+    m_startGates->onNotice(id, record.entry.incarnation, noticeIn(answer, m_wire), askTime,
+                           base::clock::now());
     const auto coldTime = coldTimeIn(answer, m_wire.coldTime);
-    if (!coldTime || headerOf(answer, m_wire.upstreamId) != record.name) {
+    if (!coldTime) {
         co_return false;
     }
     m_startGates->onAnswer(id, record.entry.incarnation, *coldTime, askTime, base::clock::now());
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -12,8 +12,8 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
-#include <algorithm>
 #include <atomic>
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
@@ -60,13 +60,6 @@
 
 const auto NAMES = platform::wireNames();
 
-auto lowerCase(std::string text) -> std::string
-{
-    std::transform(text.begin(), text.end(), text.begin(),
-                   [](unsigned char item) { return static_cast<char>(std::tolower(item)); });
-    return text;
-}
-
 auto pause(base::milliseconds span) -> void
 {
     std::this_thread::sleep_for(span);
@@ -110,8 +103,10 @@
             return 0;
         }
         m_promises.onAnswer(id, answer->status, answer->body);
-        m_notices.onAnswer(id, answer->headers.contains(lowerCase(NAMES.requestLimit)),
-                           answer->headers.contains(lowerCase(NAMES.leaving)), base::clock::now());
+        m_notices.onAnswer(
+                id, answer->headers.contains(boost::algorithm::to_lower_copy(NAMES.requestLimit)),
+                answer->headers.contains(boost::algorithm::to_lower_copy(NAMES.leaving)),
+                base::clock::now());
         if (answer->reason == "crash_suspected") {
             m_promises.fail("a request that ends no upstream was refused as one that does");
         }
